--- /dev/null
+++ b/controlstate/view.go
@@ -0,0 +1,75 @@
+package controlstate
+
+import "github.com/bramleypick/bramleypick/dynconfig"
+
+// View is what gateways see of the replicated state. It is immutable once published.
+type View struct {
+	// Index is the log index of the last change visible here. Views with the same index are equal.
+	Index         uint64               `cbor:"1,keyasint"`
+	Config        dynconfig.Config     `cbor:"2,keyasint"`
+	ConfigVersion uint64               `cbor:"3,keyasint"`
+	ConfigDigest  string               `cbor:"4,keyasint"`
+	Sessions      []SessionInfo        `cbor:"5,keyasint"` // Sorted by SessionID.
+	Upstreams     []UpstreamInfo       `cbor:"6,keyasint"` // Sorted by ID.
+	Blocked       []BlockedFingerprint `cbor:"7,keyasint,omitempty"`
+}
+
+// SessionInfo describes a gateway's session.
+type SessionInfo struct {
+	SessionID     uint64 `cbor:"1,keyasint"`
+	Gateway       string `cbor:"2,keyasint"`
+	Zone          string `cbor:"3,keyasint"`
+	CallerAddress string `cbor:"4,keyasint"`
+	PeerAddress   string `cbor:"5,keyasint"`
+	Leaving       bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// UpstreamInfo describes an upstream and its assignment.
+type UpstreamInfo struct {
+	ID             string `cbor:"1,keyasint"`
+	Service        string `cbor:"2,keyasint"`
+	Address        string `cbor:"3,keyasint"`
+	Zone           string `cbor:"4,keyasint"`
+	BootID         string `cbor:"5,keyasint"`
+	Slots          int    `cbor:"6,keyasint"`
+	MaxConnections int    `cbor:"7,keyasint"`
+	// Owner is the session that may send work, or 0.
+	Owner uint64 `cbor:"8,keyasint,omitempty"`
+	// Epoch rises with every change of owner.
+	Epoch uint64 `cbor:"9,keyasint"`
+	// MovingTo is the session that the owner shall hand the upstream over to, or 0.
+	MovingTo uint64 `cbor:"10,keyasint,omitempty"`
+	// Remaining is how many requests of earlier owners may still run there, as the last owner reported on release.
+	Remaining int `cbor:"11,keyasint,omitempty"`
+	// OwnerLost is true where the last owner's session expired without a release: an unknown number of its requests, at
+	// most Slots, may still run there.
+	OwnerLost bool `cbor:"12,keyasint,omitempty"`
+}
+
+// BlockedFingerprint is a request fingerprint that gateways refuse.
+type BlockedFingerprint struct {
+	Service     string `cbor:"1,keyasint"`
+	Fingerprint string `cbor:"2,keyasint"`
+	// UntilUnixMilli is when the block ends, on the leader's wall clock, in ms since the Unix epoch.
+	UntilUnixMilli int64 `cbor:"3,keyasint"`
+}
+
+// Upstream returns the upstream with the given id, or nil.
+func (v *View) Upstream(id string) *UpstreamInfo {
+	for i := range v.Upstreams {
+		if v.Upstreams[i].ID == id {
+			return &v.Upstreams[i]
+		}
+	}
+	return nil
+}
+
+// Session returns the session with the given id, or nil.
+func (v *View) Session(id uint64) *SessionInfo {
+	for i := range v.Sessions {
+		if v.Sessions[i].SessionID == id {
+			return &v.Sessions[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/resultcode/resultcode.go
@@ -0,0 +1,63 @@
+// Package resultcode defines the numbered result codes of every refusal and failure that bramleypick itself reports to
+// callers, upstreams and operators. docs/errors.md holds the same table; a test keeps the two equal. A code never changes
+// its number or its meaning.
+package resultcode
+
+// Code is a result code. Zero is success.
+type Code uint16
+
+// Codes of requests, refused before any byte reached an upstream (1xxx).
+const (
+	OK                     Code = 0
+	UnknownService         Code = 1001
+	UnknownClass           Code = 1002
+	UnknownTenant          Code = 1003
+	MalformedRequest       Code = 1004
+	RequestTooLarge        Code = 1005
+	IdempotencyKeyRequired Code = 1006
+	DeadlineBeforeStart    Code = 1007
+	QueueFull              Code = 1008
+	ShedByPriority         Code = 1009
+	NoUpstream             Code = 1010
+	LeaseLost              Code = 1011
+	UpstreamRefused        Code = 1012
+	FingerprintBlocked     Code = 1013
+	ShuttingDown           Code = 1014
+	ControlUnavailable     Code = 1015
+	TenantLimit            Code = 1016
+)
+
+// Codes of requests that may have run at an upstream (2xxx).
+const (
+	OutcomeUnknown        Code = 2001
+	ClaimRunning          Code = 2002
+	ClaimOutcomeUnknown   Code = 2003
+	ClaimExpired          Code = 2004
+	ClaimMismatch         Code = 2005
+	DeadlineAfterStart    Code = 2006
+	BrokenResponse        Code = 2007
+	ResponseNotRecorded   Code = 2008
+	UpstreamConnectionCut Code = 2009
+)
+
+// Codes of configuration changes, announcements, and the operator API (3xxx).
+const (
+	VersionConflict       Code = 3001
+	InvalidConfiguration  Code = 3002
+	NotLeader             Code = 3003
+	NoQuorum              Code = 3004
+	ChangeOutcomeUnknown  Code = 3005
+	Unauthorized          Code = 3006
+	BodyTooLarge          Code = 3007
+	MalformedBody         Code = 3008
+	UpstreamAddressInUse  Code = 3009
+	UpstreamSourceAddress Code = 3010
+	UpstreamLimit         Code = 3011
+	UnknownUpstream       Code = 3012
+	UnknownZone           Code = 3013
+	StaleEpoch            Code = 3014
+	UnknownSession        Code = 3015
+	UnknownClaim          Code = 3016
+	MalformedCommand      Code = 3017
+	ChangeIDReused        Code = 3018
+)
