--- /dev/null
+++ b/internal/controlplane/leader.go
@@ -0,0 +1,126 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+const (
+	// dutyInterval is the pause between two rounds of the leader's duties.
+	dutyInterval = 50 * time.Millisecond
+	// proposeTimeout bounds one proposal of the leader's own.
+	proposeTimeout = 2 * time.Second
+	// maxParallelProposals bounds the assignments proposed at once, so that they share fsyncs without filling the log's queue.
+	maxParallelProposals = 32
+	// voterAdjustInterval is the pause between two looks at the set of voters.
+	voterAdjustInterval = time.Second
+	// endedSessionMemory is how long ended sessions are remembered; it exceeds the longest class timeout that is accepted.
+	endedSessionMemory = 2 * time.Hour
+)
+
+// Run performs the leader's duties whenever this replica leads, until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	var duties leaderDuties
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.perform(ctx, &duties)
+		}
+	}
+}
+
+// leaderDuties is what the leader's loop remembers between rounds.
+type leaderDuties struct {
+	term            uint64
+	votersCheckedAt time.Time
+}
+
+func (s *Server) perform(ctx context.Context, duties *leaderDuties) {
+	term, leading := s.leadingTerm()
+	if !leading {
+		return
+	}
+	if term != duties.term && !s.startTerm(ctx, term) {
+		return
+	}
+	duties.term = term
+	now := time.Now()
+	s.leases.Sync(now, sessionIDs(s.views.current()))
+	s.expireSessions(ctx, now)
+	s.assignUpstreams(ctx)
+	if now.Sub(duties.votersCheckedAt) >= voterAdjustInterval {
+		duties.votersCheckedAt = now
+		s.adjustVoters(ctx)
+	}
+}
+
+// startTerm prepares for grants in a new term, once the state holds everything that earlier leaders committed.
+func (s *Server) startTerm(ctx context.Context, term uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := s.cfg.Node.ReadBarrier(ctx); err != nil {
+		return false
+	}
+	now := time.Now()
+	s.confirmations.reset(term, now)
+	s.leases.Reset(term, now, sessionIDs(s.views.current()))
+	s.cfg.Log.Info("leading", zap.Uint64("term", term))
+	return true
+}
+
+// expireSessions ends the sessions whose leases ran out. The lease table refuses their renewal from the decision on, so a
+// session that is ended here holds no lease.
+func (s *Server) expireSessions(ctx context.Context, now time.Time) {
+	for _, id := range s.leases.Expired(now) {
+		gateway := ""
+		if info := s.views.current().Session(id); info != nil {
+			gateway = info.Gateway
+		}
+		s.confirmations.markEnded(id, gateway, now)
+		s.proposeOwn(ctx, controlstate.Command{Kind: controlstate.KindExpireSession, ExpireSession: &controlstate.ExpireSession{SessionID: id}})
+		s.cfg.Log.Warn("session expired", zap.Uint64("session", id), zap.String("gateway", gateway))
+	}
+	s.confirmations.forgetEndedBefore(now.Add(-endedSessionMemory))
+}
+
+func (s *Server) assignUpstreams(ctx context.Context) {
+	var commands []controlstate.Command
+	s.cfg.Node.Query(func() { commands = s.cfg.Machine.PlanAssignments() })
+	var wg sync.WaitGroup
+	limit := make(chan struct{}, maxParallelProposals)
+	for _, command := range commands {
+		limit <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-limit }()
+			s.proposeOwn(ctx, command)
+		})
+	}
+	wg.Wait()
+}
+
+func (s *Server) proposeOwn(ctx context.Context, command controlstate.Command) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := s.propose(ctx, command)
+	if err != nil || result.Code != resultcode.OK {
+		s.cfg.Log.Debug("own proposal not applied", zap.Uint8("kind", uint8(command.Kind)), zap.Stringer("code", result.Code), zap.Error(err))
+	}
+}
+
+func sessionIDs(view *controlstate.View) []uint64 {
+	ids := make([]uint64, len(view.Sessions))
+	for i, s := range view.Sessions {
+		ids[i] = s.SessionID
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/controlplane/view_feed.go
@@ -0,0 +1,57 @@
+package controlplane
+
+import (
+	"context"
+	"sync"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+)
+
+// viewFeed holds the latest view and wakes those who wait for a newer one.
+type viewFeed struct {
+	mu      sync.Mutex
+	view    *controlstate.View
+	changed chan struct{} // closed when view is replaced
+}
+
+func newViewFeed(view *controlstate.View) *viewFeed {
+	return &viewFeed{view: view, changed: make(chan struct{})}
+}
+
+func (f *viewFeed) publish(view *controlstate.View) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if view == f.view {
+		return
+	}
+	f.view = view
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *viewFeed) current() *controlstate.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *viewFeed) state() (*controlstate.View, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view, f.changed
+}
+
+// newerThan waits for a view with a higher index and returns nil if ctx ends first.
+func (f *viewFeed) newerThan(ctx context.Context, index uint64) *controlstate.View {
+	for {
+		view, changed := f.state()
+		if view.Index > index {
+			return view
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
--- a/internal/controlproto/messages.go
+++ b/internal/controlproto/messages.go
@@ -79,6 +79,14 @@
 	InFlight   int    `cbor:"3,keyasint"`
 }
 
+// Load tells a peer gateway how many more requests of a service this gateway could start now. It is sent as a message, not
+// as a call: a lost one is repeated by the next.
+type Load struct {
+	Service   string `cbor:"1,keyasint"`
+	SessionID uint64 `cbor:"2,keyasint"`
+	FreeSlots int    `cbor:"3,keyasint"`
+}
+
 // Announced answers Announce.
 type Announced struct {
 	// Owned is false where the gateway does not own the upstream.
