Add the static settings of a process

A VM that starts with a wrong address or a wrong list of control replicas can found a second control group, so a faulty file must not start. Unknown fields, duplicate keys and wrong types are found by a walk of the document, because encoding/json accepts the first two and stops at the first of the third. All faults are reported at once to save round trips during provisioning.

--- /dev/null
+++ b/internal/settings/defaults.go
@@ -0,0 +1,35 @@
+package settings
+
+// Defaults; the fields of Settings give their meaning.
+const (
+	DefaultLogLevel              = "info"
+	DefaultSessionTTLMillis      = 3000
+	DefaultRenewIntervalMillis   = 400
+	DefaultMaxBodyBytes          = 64 << 20
+	DefaultMaxHeaderBytes        = 64 << 10
+	DefaultMaxAnnouncementBytes  = 4 << 10
+	DefaultMaxConfigBytes        = 8 << 20
+	DefaultMaxCallerConnections  = 10000
+	DefaultShutdownTimeoutMillis = 600000
+)
+
+// WithDefaults returns s with every field whose zero value means the default set to it.
+func (s Settings) WithDefaults() Settings {
+	setDefault(&s.Log.Level, DefaultLogLevel)
+	setDefault(&s.SessionTTLMillis, DefaultSessionTTLMillis)
+	setDefault(&s.RenewIntervalMillis, DefaultRenewIntervalMillis)
+	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setDefault(&s.Limits.MaxAnnouncementBytes, DefaultMaxAnnouncementBytes)
+	setDefault(&s.Limits.MaxConfigBytes, DefaultMaxConfigBytes)
+	setDefault(&s.Limits.MaxCallerConnections, DefaultMaxCallerConnections)
+	setDefault(&s.Limits.ShutdownTimeoutMillis, DefaultShutdownTimeoutMillis)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/settings/scan.go
@@ -0,0 +1,143 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// scanner walks a JSON document next to a Go type. encoding/json alone accepts duplicate keys, keys that differ in case,
+// and null for any value, and it stops at the first unknown field.
+type scanner struct {
+	dec    *json.Decoder
+	faults Faults
+}
+
+// value consumes one value that should have type t; a nil t accepts everything.
+func (s *scanner) value(path string, t reflect.Type) error {
+	token, err := s.dec.Token()
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		if t != nil && t.Kind() != reflect.Struct {
+			s.faults.add(path, "an object", shapeOf(t))
+			t = nil
+		}
+		return s.object(path, t)
+	case json.Delim('['):
+		if t != nil && t.Kind() != reflect.Slice {
+			s.faults.add(path, "an array", shapeOf(t))
+			t = nil
+		}
+		return s.array(path, t)
+	}
+	if t != nil && !scalarFits(token, t) {
+		s.faults = append(s.faults, Fault{path, tokenText(token), shapeOf(t)})
+	}
+	return nil
+}
+
+func (s *scanner) object(path string, t reflect.Type) error {
+	seen := map[string]bool{}
+	for s.dec.More() {
+		token, err := s.dec.Token()
+		if err != nil {
+			return err
+		}
+		key := token.(string) // the decoder accepts only string keys
+		child := strings.TrimPrefix(path+"."+key, ".")
+		if seen[key] {
+			s.faults.add(child, key, "each key once")
+		}
+		seen[key] = true
+		var field reflect.Type
+		if t != nil {
+			if field = fieldType(t, key); field == nil {
+				s.faults.add(child, key, "one of "+strings.Join(fieldNames(t), ", "))
+			}
+		}
+		if err := s.value(child, field); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func (s *scanner) array(path string, t reflect.Type) error {
+	var element reflect.Type
+	if t != nil {
+		element = t.Elem()
+	}
+	for i := 0; s.dec.More(); i++ {
+		if err := s.value(fmt.Sprintf("%s[%d]", path, i), element); err != nil {
+			return err
+		}
+	}
+	_, err := s.dec.Token()
+	return err
+}
+
+func scalarFits(token json.Token, t reflect.Type) bool {
+	switch v := token.(type) {
+	case string:
+		return t.Kind() == reflect.String
+	case json.Number:
+		switch t.Kind() {
+		case reflect.Uint64:
+			_, err := strconv.ParseUint(v.String(), 10, 64)
+			return err == nil
+		case reflect.Int, reflect.Int64:
+			_, err := strconv.ParseInt(v.String(), 10, t.Bits())
+			return err == nil
+		}
+	}
+	return false
+}
+
+func tokenText(token json.Token) string {
+	switch v := token.(type) {
+	case nil:
+		return "null"
+	case string:
+		return strconv.Quote(v)
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+func shapeOf(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object with " + strings.Join(fieldNames(t), ", ")
+	case reflect.Slice:
+		return "an array"
+	case reflect.String:
+		return "a string"
+	case reflect.Uint64:
+		return "a whole number, 0 or more"
+	default:
+		return "a whole number"
+	}
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i], _, _ = strings.Cut(t.Field(i).Tag.Get("json"), ",")
+	}
+	return names
+}
+
+func fieldType(t reflect.Type, name string) reflect.Type {
+	for i, n := range fieldNames(t) {
+		if n == name {
+			return t.Field(i).Type
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,80 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+)
+
+const (
+	maxNameLength = 63 // bytes; a certificate's common name holds 64 at most
+
+	minSessionTTLMillis = 500
+	maxSessionTTLMillis = 60000
+	minRenewMillis      = 10
+	// A lease must survive two lost renewals.
+	renewalsPerTTL = 3
+	// A TCP accept queue and the file descriptors of one process bound this.
+	maxCallerConnections = 1 << 20
+	maxBytes             = 1 << 40
+	maxShutdownMillis    = 24 * 60 * 60 * 1000
+)
+
+// Validate returns a Faults with every fault of s, or nil. Call it on the result of WithDefaults.
+func (s Settings) Validate() error {
+	var v validator
+	v.name("name", s.Name)
+	v.name("zone", s.Zone)
+	v.address("caller_address", s.CallerAddress, "tcp", s.Name)
+	v.address("operator_address", s.OperatorAddress, "tcp", s.Name)
+	v.address("peer_address", s.PeerAddress, "udp", s.Name)
+	v.roles(s)
+	v.peers(s)
+	v.bootstrapVoters(s)
+	v.required("tls.ca_file", s.TLS.CAFile)
+	v.required("tls.cert_file", s.TLS.CertFile)
+	v.required("tls.key_file", s.TLS.KeyFile)
+	v.required("operator_token_file", s.OperatorTokenFile)
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
+		v.faults.add("log.level", s.Log.Level, "debug, info, warn or error")
+	}
+	v.within("session_ttl_ms", int64(s.SessionTTLMillis), minSessionTTLMillis, maxSessionTTLMillis)
+	v.within("renew_interval_ms", int64(s.RenewIntervalMillis), minRenewMillis,
+		max(minRenewMillis, int64(s.SessionTTLMillis)/renewalsPerTTL))
+	v.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, 1, maxBytes)
+	v.within("limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes), 1024, 16<<20)
+	v.within("limits.max_announcement_bytes", s.Limits.MaxAnnouncementBytes, 256, 1<<20)
+	v.within("limits.max_config_bytes", s.Limits.MaxConfigBytes, 1024, 1<<30)
+	v.within("limits.max_caller_connections", int64(s.Limits.MaxCallerConnections), 1, maxCallerConnections)
+	v.within("limits.shutdown_timeout_ms", int64(s.Limits.ShutdownTimeoutMillis), 1, maxShutdownMillis)
+	return v.faults.asError()
+}
+
+// validator collects faults, and the names and addresses seen so far.
+type validator struct {
+	faults Faults
+	names  map[string]string // name to the path that took it
+	taken  map[string]string // network and address to the path that took them
+	nodes  map[uint64]string // node id to the path that took it
+}
+
+func (v *validator) required(path, value string) {
+	if value == "" {
+		v.faults.add(path, "", "a file name")
+	}
+}
+
+func (v *validator) within(path string, value, low, high int64) {
+	if value < low || value > high {
+		v.faults.add(path, value, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (v *validator) name(path, value string) {
+	valid := value != "" && len(value) <= maxNameLength
+	for _, c := range value {
+		valid = valid && (c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.')
+	}
+	if !valid {
+		v.faults.add(path, value, fmt.Sprintf("1 to %d letters, digits, '-', '_' or '.'", maxNameLength))
+	}
+}
