--- /dev/null
+++ b/internal/daemon/callers.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// callers serves the system's paths on the caller listener.
+type callers struct {
+	view      func() *controlstate.View
+	upstreams *upstreams
+}
+
+// Addresses returns the gateways of a service in random order, those of zone first.
+func (c callers) Addresses(service, zone string) (api.Addresses, error) {
+	view := c.view()
+	if view == nil {
+		return api.Addresses{}, resultcode.Errorf(resultcode.ControlUnavailable, "the gateway has no view of the control state yet")
+	}
+	s := view.Config.Service(service)
+	if s == nil {
+		return api.Addresses{}, resultcode.Errorf(resultcode.UnknownService, "no service %q", service)
+	}
+	answer := api.Addresses{Service: service, Addresses: []string{}, TTLMillis: s.WithDefaults().AddressTTLMillis}
+	sessions := controlstate.GatewaysFor(view, service)
+	rand.Shuffle(len(sessions), func(i, j int) { sessions[i], sessions[j] = sessions[j], sessions[i] })
+	var elsewhere []string
+	for _, info := range sessions {
+		if info.Zone == zone {
+			answer.Addresses = append(answer.Addresses, info.CallerAddress)
+		} else {
+			elsewhere = append(elsewhere, info.CallerAddress)
+		}
+	}
+	answer.Addresses = append(answer.Addresses, elsewhere...)
+	return answer, nil
+}
+
+// Announce handles an upstream's announcement.
+func (c callers) Announce(ctx context.Context, id string, a api.Announcement) (api.Announced, error) {
+	return c.upstreams.announce(ctx, id, a)
+}
--- /dev/null
+++ b/internal/daemon/loads.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/gateway"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+	"github.com/bramleypick/bramleypick/lease"
+)
+
+const (
+	// loadCheckInterval is the pause between two looks at the free slots.
+	loadCheckInterval = 20 * time.Millisecond
+	// loadRepeatInterval is after how long an unchanged report is repeated. It is half of how long peers trust a report.
+	loadRepeatInterval = time.Second
+)
+
+// loadReporter tells the peer gateways of a service whether this gateway has free slots. A report is sent when the answer
+// changes between "some" and "none", and repeated every loadRepeatInterval: the count between is stale on arrival anyway, and
+// a report for each change would exceed the byte budget of a node.
+type loadReporter struct {
+	network *peernet.Network
+	lease   *lease.Holder
+	view    func() *controlstate.View
+	status  func() gateway.Status
+	last    map[string]sentLoad
+}
+
+// sentLoad is the last report of a service.
+type sentLoad struct {
+	at   time.Time
+	free bool
+}
+
+func (l *loadReporter) run(ctx context.Context) {
+	ticker := time.NewTicker(loadCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, service := range l.status().Services {
+				l.report(service, now)
+			}
+		}
+	}
+}
+
+func (l *loadReporter) report(service gateway.ServiceStatus, now time.Time) {
+	free := service.FreeSlots > 0
+	last := l.last[service.Name]
+	if last.free == free && now.Sub(last.at) < loadRepeatInterval {
+		return
+	}
+	l.last[service.Name] = sentLoad{at: now, free: free}
+	view := l.view()
+	if view == nil {
+		return
+	}
+	data, err := controlproto.Encode(controlproto.Load{Service: service.Name, SessionID: l.lease.SessionID(), FreeSlots: service.FreeSlots})
+	if err != nil {
+		return
+	}
+	message := append([]byte{byte(messageLoad)}, data...)
+	for _, info := range controlstate.GatewaysFor(view, service.Name) {
+		if info.SessionID != l.lease.SessionID() {
+			l.network.Send(info.Gateway, message)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/peer_handler.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+	"github.com/bramleypick/bramleypick/replog"
+)
+
+// messageKind is the first byte of a message between processes.
+type messageKind byte
+
+const (
+	messageReplog messageKind = 1
+	messageLoad   messageKind = 2
+)
+
+// errNoControl is the answer to a call that only a control replica can serve.
+var errNoControl = errors.New("this VM has no control replica")
+
+// peerHandler routes what peers send to the parts of this process.
+type peerHandler struct {
+	d *Daemon
+}
+
+func (h peerHandler) HandleMessage(from string, data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	switch messageKind(data[0]) {
+	case messageReplog:
+		h.replogMessage(from, data[1:])
+	case messageLoad:
+		var load controlproto.Load
+		if controlproto.Decode(data[1:], &load) == nil {
+			h.d.gateway.SetPeerLoad(load.Service, load.SessionID, load.FreeSlots)
+		}
+	}
+}
+
+// replogMessage accepts a message only from the process that its sender's node id belongs to.
+func (h peerHandler) replogMessage(from string, data []byte) {
+	if h.d.replica == nil {
+		return
+	}
+	var m replog.Message
+	if controlproto.Decode(data, &m) != nil || h.d.replica.names[m.From] != from {
+		return
+	}
+	h.d.replica.node.Receive(m)
+}
+
+func (h peerHandler) HandleCall(ctx context.Context, _ string, data []byte) ([]byte, error) {
+	receivedAt := time.Now()
+	var request controlproto.Request
+	if err := controlproto.Decode(data, &request); err != nil {
+		return nil, err
+	}
+	response, err := h.dispatch(ctx, &request, receivedAt)
+	if err != nil {
+		return nil, err
+	}
+	return controlproto.Encode(response)
+}
+
+func (h peerHandler) dispatch(ctx context.Context, request *controlproto.Request, receivedAt time.Time) (any, error) {
+	if request.Announce != nil {
+		return controlproto.Announced{Owned: h.d.upstreams.touch(request.Announce)}, nil
+	}
+	if h.d.replica == nil {
+		return nil, errNoControl
+	}
+	return h.d.replica.server.Handle(ctx, request, receivedAt)
+}
+
+func (h peerHandler) HandleStream(ctx context.Context, _ string, s peernet.Stream) {
+	serveForwarded(ctx, s, h.d.gateway)
+}
--- /dev/null
+++ b/internal/daemon/replica.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/controlnode"
+	"github.com/bramleypick/bramleypick/internal/controlplane"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+	"github.com/bramleypick/bramleypick/internal/settings"
+	"github.com/bramleypick/bramleypick/replog"
+)
+
+// replica is the control role of this process.
+type replica struct {
+	node   *controlnode.Node
+	server *controlplane.Server
+	names  map[replog.NodeID]string
+}
+
+// replicaTransport sends the replicated log's messages to the processes that run the replicas.
+type replicaTransport struct {
+	network *peernet.Network
+	names   map[replog.NodeID]string
+	log     *zap.Logger
+}
+
+// Send queues a message and never blocks.
+func (t replicaTransport) Send(to replog.NodeID, m replog.Message) {
+	data, err := controlproto.Encode(m)
+	if err != nil {
+		t.log.Error("replicated-log message not encoded", zap.Error(err))
+		return
+	}
+	t.network.Send(t.names[to], append([]byte{byte(messageReplog)}, data...))
+}
+
+// publishingMachine tells the server after each command that the view may have changed.
+type publishingMachine struct {
+	*controlstate.Machine
+	published func()
+}
+
+// Apply applies a command.
+func (m *publishingMachine) Apply(index uint64, data []byte) []byte {
+	result := m.Machine.Apply(index, data)
+	m.published()
+	return result
+}
+
+// Restore replaces the state by a snapshot.
+func (m *publishingMachine) Restore(data []byte) error {
+	err := m.Machine.Restore(data)
+	m.published()
+	return err
+}
+
+func replicaNames(s settings.Settings) map[replog.NodeID]string {
+	names := map[replog.NodeID]string{}
+	if s.HasRole(settings.RoleControl) {
+		names[replog.NodeID(s.NodeID)] = s.Name
+	}
+	for _, p := range s.Peers {
+		if p.NodeID != 0 {
+			names[replog.NodeID(p.NodeID)] = p.Name
+		}
+	}
+	return names
+}
+
+func replicaInfos(s settings.Settings) map[replog.NodeID]controlplane.Replica {
+	infos := map[replog.NodeID]controlplane.Replica{}
+	if s.HasRole(settings.RoleControl) {
+		infos[replog.NodeID(s.NodeID)] = controlplane.Replica{Name: s.Name, Zone: s.Zone}
+	}
+	for _, p := range s.Peers {
+		if p.NodeID != 0 {
+			infos[replog.NodeID(p.NodeID)] = controlplane.Replica{Name: p.Name, Zone: p.Zone}
+		}
+	}
+	return infos
+}
+
+// localCaller serves calls to this process without the network.
+type localCaller struct {
+	name    string
+	network *peernet.Network
+	handler peerHandler
+}
+
+// Call calls a process by name.
+func (c localCaller) Call(ctx context.Context, to string, data []byte) ([]byte, error) {
+	if to == c.name {
+		return c.handler.HandleCall(ctx, c.name, data)
+	}
+	return c.network.Call(ctx, to, data)
+}
+
+// dataDir is the folder of the replicated log below the data folder.
+func dataDir(s settings.Settings) string {
+	return filepath.Join(s.DataDir, "control")
+}
+
+// stop gives leadership up, so that the others need no election, and closes the log.
+func (r *replica) stop() error {
+	return errors.Wrap(r.node.Stop(), "stop the control replica")
+}
