--- /dev/null
+++ b/replog/log.go
@@ -0,0 +1,139 @@
+package replog
+
+import (
+	"fmt"
+	"slices"
+)
+
+// entryLog is the log after the last snapshot, with what is durable, committed and applied of it.
+type entryLog struct {
+	// snapshot precedes entries; its index is zero before the first compaction.
+	snapshot Snapshot
+	// snapshotPending is set while a received snapshot is not yet durable.
+	snapshotPending bool
+	entries         []Entry
+	// stable is the last index that the caller has made durable.
+	stable  uint64
+	commit  uint64
+	applied uint64
+}
+
+func newEntryLog(r Restored) (entryLog, error) {
+	l := entryLog{snapshot: r.Snapshot, entries: slices.Clone(r.Entries)}
+	term := r.Snapshot.Term
+	for i, e := range l.entries {
+		if e.Index != l.snapshot.Index+uint64(i)+1 || e.Term < term {
+			return l, fmt.Errorf("%w: entry %d of term %d does not follow the log", ErrCorrupt, e.Index, e.Term)
+		}
+		term = e.Term
+	}
+	// The persisted commit index never exceeds what was durable before it, so a shorter log has lost entries.
+	if r.HardState.Commit > l.last() {
+		return l, fmt.Errorf("%w: commit index %d is after the last entry %d", ErrCorrupt, r.HardState.Commit, l.last())
+	}
+	l.stable = l.last()
+	l.commit = max(r.HardState.Commit, l.snapshot.Index)
+	l.applied = l.snapshot.Index
+	return l, nil
+}
+
+func (l *entryLog) last() uint64 { return l.snapshot.Index + uint64(len(l.entries)) }
+
+// term returns the term of the entry at index; ok is false if it is compacted or after the end.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index < l.snapshot.Index || index > l.last():
+		return 0, false
+	case index == l.snapshot.Index:
+		return l.snapshot.Term, true
+	}
+	return l.entries[index-l.snapshot.Index-1].Term, true
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate tells whether a log that ends with (index, term) holds at least what this one does, as far as an election can
+// tell.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+// slice returns the entries in (after, to]. The result is never overwritten.
+func (l *entryLog) slice(after, to uint64) []Entry {
+	if after >= to {
+		return nil
+	}
+	from, end := after-l.snapshot.Index, to-l.snapshot.Index
+	return l.entries[from:end:end]
+}
+
+// limited returns the entries after an index up to maxBytes of data, but at least one.
+func (l *entryLog) limited(after uint64, maxBytes int) []Entry {
+	all := l.slice(after, l.last())
+	size := 0
+	for i, e := range all {
+		if size += len(e.Data); size > maxBytes && i > 0 {
+			return all[:i:i]
+		}
+	}
+	return all
+}
+
+// append adds entries that follow the last one.
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// truncate removes the entry at index and all after it. It copies the rest because slices of the log may be in use.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = slices.Clone(l.entries[:index-l.snapshot.Index-1])
+	l.stable = min(l.stable, l.last())
+}
+
+// firstMissing returns the position of the first of entries that the log does not hold, which is len(entries) if it
+// holds all, and whether the log holds a different entry at its index.
+func (l *entryLog) firstMissing(entries []Entry) (position int, conflict bool) {
+	for i, e := range entries {
+		if !l.matches(e.Index, e.Term) {
+			return i, e.Index <= l.last()
+		}
+	}
+	return len(entries), false
+}
+
+// lastWithTermAtMost returns the highest index up to limit whose term is at most term, for backing off on a conflict by
+// whole terms.
+func (l *entryLog) lastWithTermAtMost(limit, term uint64) uint64 {
+	index := min(limit, l.last())
+	for index > l.snapshot.Index {
+		if t, _ := l.term(index); t <= term {
+			return index
+		}
+		index--
+	}
+	return index
+}
+
+// markStable records that the entry was made durable, unless it was replaced since.
+func (l *entryLog) markStable(index, term uint64) {
+	if l.matches(index, term) {
+		l.stable = max(l.stable, index)
+	}
+}
+
+// restore replaces the log by a snapshot.
+func (l *entryLog) restore(s Snapshot) {
+	*l = entryLog{snapshot: s, snapshotPending: true, stable: s.Index, commit: s.Index, applied: l.applied}
+}
+
+// compact drops the entries up to the snapshot's index.
+func (l *entryLog) compact(s Snapshot) {
+	l.entries = slices.Clone(l.slice(s.Index, l.last()))
+	l.snapshot = s
+}
