replog: add the Raft state machine

Configuration, sessions, assignments and claims need a log that survives the loss of replicas. Appends and heartbeats of reads are sent when a Ready is built, so that calls made between two Readys share messages and one sync.

--- /dev/null
+++ b/replog/compact.go
@@ -0,0 +1,29 @@
+package replog
+
+import "fmt"
+
+// SnapshotAt returns a snapshot of the state machine's data after index was applied, with the term and the membership of
+// that index. It changes nothing. It returns ErrInvalidSnapshot if the index is not applied or already compacted.
+func (c *Core) SnapshotAt(index uint64, data []byte) (Snapshot, error) {
+	term, ok := c.log.term(index)
+	if !ok || index > c.log.applied || index <= c.log.snapshot.Index {
+		return Snapshot{}, fmt.Errorf("%w: index %d, compacted up to %d, applied up to %d", ErrInvalidSnapshot, index,
+			c.log.snapshot.Index, c.log.applied)
+	}
+	return Snapshot{Index: index, Term: term, Membership: c.history.at(index).Clone(), Data: data}, nil
+}
+
+// Compact drops the log up to snapshot.Index and keeps the snapshot in memory for followers that are behind. The caller
+// must have made the snapshot durable. It returns ErrInvalidSnapshot.
+func (c *Core) Compact(snapshot Snapshot) error {
+	want, err := c.SnapshotAt(snapshot.Index, snapshot.Data)
+	if err != nil {
+		return err
+	}
+	if snapshot.Term != want.Term || !snapshot.Membership.equal(want.Membership) {
+		return fmt.Errorf("%w: term or membership differs from the log at index %d", ErrInvalidSnapshot, snapshot.Index)
+	}
+	c.log.compact(want)
+	c.history.compact(snapshot.Index)
+	return nil
+}
--- /dev/null
+++ b/replog/election.go
@@ -0,0 +1,118 @@
+package replog
+
+// becomeFollower enters a term, or stays in it, without being leader. The leader is zero if unknown.
+func (c *Core) becomeFollower(term uint64, leader NodeID) {
+	if term != c.term {
+		c.term, c.vote = term, 0
+	}
+	c.role, c.leader = RoleFollower, leader
+	c.resetRole()
+}
+
+// resetRole forgets what belongs to the previous role and draws a new election timeout.
+func (c *Core) resetRole() {
+	c.electionElapsed = 0
+	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand(c.cfg.ElectionTicks)
+	c.votes = nil
+	c.lead = leaderState{}
+}
+
+// followLeader accepts the sender of a message that only the leader of the current term sends.
+func (c *Core) followLeader(id NodeID) {
+	if c.role != RoleFollower || c.leader != id {
+		c.becomeFollower(c.term, id)
+	}
+	c.electionElapsed = 0
+}
+
+// heardLeader tells whether a leader was heard within the shortest election timeout. A leader counts as its own; without
+// a quorum it has stepped down by then.
+func (c *Core) heardLeader() bool {
+	return c.role == RoleLeader || c.leader != 0 && c.electionElapsed < c.cfg.ElectionTicks
+}
+
+// startElection asks for votes. A pre-vote finds out first whether the election can succeed, so that a replica that was
+// cut off does not raise the term. A leadership transfer skips it.
+func (c *Core) startElection(preVote, transfer bool) {
+	if !c.isVoter() {
+		c.electionElapsed = 0
+		c.leader = 0
+		return
+	}
+	c.leader = 0
+	c.resetRole()
+	c.votes = map[NodeID]bool{c.cfg.ID: true}
+	request := Message{Type: MessagePreVote, Term: c.term + 1, Index: c.log.last(), LogTerm: c.log.lastTerm()}
+	c.role = RolePreCandidate
+	if !preVote {
+		c.role = RoleCandidate
+		c.term, c.vote = c.term+1, c.cfg.ID
+		request.Type, request.Transfer = MessageVote, transfer
+	}
+	for _, id := range c.membership().Voters {
+		if id != c.cfg.ID {
+			request.To = id
+			c.send(request)
+		}
+	}
+	c.countVotes()
+}
+
+// countVotes goes on with the election once a majority has granted its votes.
+func (c *Core) countVotes() {
+	if !hasQuorum(c.membership().Voters, func(id NodeID) bool { return c.votes[id] }) {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.startElection(false, false)
+		return
+	}
+	c.becomeLeader()
+}
+
+// becomeLeader starts leading the current term. The no-op entry lets entries of earlier terms be committed, since only
+// entries of the own term are committed by counting.
+func (c *Core) becomeLeader() {
+	c.role, c.leader = RoleLeader, c.cfg.ID
+	c.resetRole()
+	c.lead.progress = map[NodeID]*progress{}
+	for _, id := range c.peers() {
+		c.lead.progress[id] = newProgress(c.log.last())
+	}
+	c.appendOwn(EntryNoop, nil)
+}
+
+// handlePreVote answers whether a vote would be granted; it changes no state. adoptTerm has ignored it if a leader was
+// heard.
+func (c *Core) handlePreVote(m Message) {
+	if m.Term > c.term && c.log.upToDate(m.Index, m.LogTerm) {
+		c.send(Message{Type: MessagePreVoteResponse, To: m.From, Term: m.Term})
+		return
+	}
+	c.send(Message{Type: MessagePreVoteResponse, To: m.From, Reject: true})
+}
+
+// handleVote grants at most one vote per term, to a candidate whose log holds everything that may be committed.
+func (c *Core) handleVote(m Message) {
+	free := c.vote == m.From || c.vote == 0 && c.leader == 0
+	if !free || !c.log.upToDate(m.Index, m.LogTerm) {
+		c.send(Message{Type: MessageVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	c.vote = m.From
+	c.electionElapsed = 0
+	c.send(Message{Type: MessageVoteResponse, To: m.From})
+}
+
+func (c *Core) handleVoteResponse(m Message) {
+	preVote := m.Type == MessagePreVoteResponse
+	switch {
+	case m.Reject:
+	case preVote && c.role == RolePreCandidate && m.Term == c.term+1:
+		c.votes[m.From] = true
+		c.countVotes()
+	case !preVote && c.role == RoleCandidate:
+		c.votes[m.From] = true
+		c.countVotes()
+	}
+}
--- /dev/null
+++ b/replog/follower.go
@@ -0,0 +1,64 @@
+package replog
+
+import "fmt"
+
+// handleAppend adds the leader's entries if the log matches before them, and replaces entries that conflict.
+func (c *Core) handleAppend(m Message) error {
+	if m.Index < c.log.commit {
+		// Delayed message; everything committed matches the leader's log.
+		c.acknowledge(m.From, c.log.commit)
+		return nil
+	}
+	if !c.log.matches(m.Index, m.LogTerm) {
+		hint := c.log.lastWithTermAtMost(m.Index, m.LogTerm)
+		hintTerm, _ := c.log.term(hint)
+		c.send(Message{
+			Type: MessageAppendResponse, To: m.From, Reject: true, Index: m.Index, Hint: hint, LogTerm: hintTerm,
+		})
+		return nil
+	}
+	position, conflict := c.log.firstMissing(m.Entries)
+	missing := m.Entries[position:]
+	if conflict {
+		first := missing[0].Index
+		if first <= c.log.commit {
+			return fmt.Errorf("%w: replica %d replaces committed entry %d", ErrCorrupt, m.From, first)
+		}
+		c.log.truncate(first)
+		c.history.truncate(first)
+	}
+	c.log.append(missing...)
+	if err := c.history.add(missing); err != nil {
+		return err
+	}
+	last := m.Index + uint64(len(m.Entries))
+	c.log.commit = max(c.log.commit, min(m.Commit, last))
+	c.acknowledge(m.From, last)
+	return nil
+}
+
+// acknowledge tells the leader that the log matches up to index. The message leaves with a Ready that holds the entries.
+func (c *Core) acknowledge(leader NodeID, index uint64) {
+	c.send(Message{Type: MessageAppendResponse, To: leader, Index: index})
+}
+
+func (c *Core) handleHeartbeat(m Message) {
+	c.log.commit = max(c.log.commit, min(m.Commit, c.log.last()))
+	c.send(Message{Type: MessageHeartbeatResponse, To: m.From, Round: m.Round})
+}
+
+// handleSnapshot replaces the log by the leader's snapshot unless the log already holds what it covers.
+func (c *Core) handleSnapshot(m Message) {
+	s := *m.Snapshot
+	switch {
+	case s.Index <= c.log.commit:
+		c.acknowledge(m.From, c.log.commit)
+		return
+	case c.log.matches(s.Index, s.Term):
+		c.log.commit = s.Index
+	default:
+		c.log.restore(s)
+		c.history = membershipHistory{{index: s.Index, membership: s.Membership.Clone()}}
+	}
+	c.acknowledge(m.From, s.Index)
+}
--- /dev/null
+++ b/replog/leader.go
@@ -0,0 +1,157 @@
+package replog
+
+// tickLeader steps down without contact to a majority, ends a transfer that takes too long, and sends heartbeats.
+func (c *Core) tickLeader() {
+	for _, p := range c.lead.progress {
+		p.tick()
+	}
+	if !c.hasContact(c.membership().Voters) {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	if c.lead.transferee != 0 {
+		if c.lead.transferElapsed++; c.lead.transferElapsed >= c.cfg.ElectionTicks {
+			c.lead.transferee = 0
+		}
+	}
+	if c.lead.heartbeatElapsed++; c.lead.heartbeatElapsed >= c.cfg.HeartbeatTicks {
+		c.broadcastHeartbeat()
+	}
+}
+
+// hasContact tells whether a majority of voters responded within the election timeout. All count as contacted at the
+// election. It lets a leader behind a partition step down instead of keeping its clients waiting.
+func (c *Core) hasContact(voters []NodeID) bool {
+	return hasQuorum(voters, func(id NodeID) bool {
+		p := c.lead.progress[id]
+		return id == c.cfg.ID || p != nil && p.silentTicks < c.cfg.ElectionTicks
+	})
+}
+
+func (c *Core) broadcastHeartbeat() {
+	c.lead.heartbeatElapsed = 0
+	for _, id := range c.peers() {
+		// A follower must not commit entries that are not known to match the leader's.
+		commit := min(c.log.commit, c.lead.progress[id].match)
+		c.send(Message{Type: MessageHeartbeat, To: id, Commit: commit, Round: c.lead.round})
+	}
+}
+
+// Propose appends a command. It is committed once it appears in Ready.Committed with the returned index and term. The
+// caller must not change data afterwards. It returns ErrNotLeader, ErrTransferring or ErrTooLarge.
+func (c *Core) Propose(data []byte) (index, term uint64, err error) {
+	switch {
+	case c.role != RoleLeader:
+		return 0, 0, ErrNotLeader
+	case c.lead.transferee != 0:
+		return 0, 0, ErrTransferring
+	case len(data) > c.cfg.MaxMessageBytes:
+		return 0, 0, ErrTooLarge
+	}
+	return c.appendOwn(EntryCommand, data), c.term, nil
+}
+
+// appendOwn appends an entry of the own term. It counts towards the commit index once it is durable.
+func (c *Core) appendOwn(kind EntryKind, data []byte) (index uint64) {
+	index = c.log.last() + 1
+	c.log.append(Entry{Index: index, Term: c.term, Kind: kind, Data: data})
+	return index
+}
+
+// handleFollowerResponse processes acknowledgements of appends, snapshots and heartbeats.
+func (c *Core) handleFollowerResponse(m Message) {
+	p := c.lead.progress[m.From]
+	if c.role != RoleLeader || p == nil {
+		return
+	}
+	p.heard()
+	switch {
+	case m.Type == MessageHeartbeatResponse:
+		p.heartbeatAcknowledged(m.Round, c.log.last())
+		c.confirmReads()
+	case m.Reject:
+		p.reject(m.Index, c.log.lastWithTermAtMost(m.Hint, m.LogTerm))
+	case m.Index <= c.log.last():
+		p.acknowledge(m.Index)
+		c.advanceCommit()
+		c.continueTransfer(m.From)
+	}
+}
+
+// advanceCommit commits what a majority of voters holds durably. An entry of an earlier term may be on a majority and
+// still be replaced by a later leader, so only entries of the own term are counted.
+func (c *Core) advanceCommit() {
+	if c.role != RoleLeader {
+		return
+	}
+	index := quorumValue(c.membership().Voters, func(id NodeID) uint64 {
+		if id == c.cfg.ID {
+			return c.log.stable
+		}
+		return c.lead.progress[id].match
+	})
+	if term, ok := c.log.term(index); !ok || index <= c.log.commit || term != c.term {
+		return
+	}
+	c.log.commit = index
+	if !c.isVoter() && c.history.current().index <= index {
+		c.resign()
+	}
+}
+
+// committedInTerm tells whether an entry of the current term is committed, which is when the commit index is known to
+// cover everything that earlier leaders committed.
+func (c *Core) committedInTerm() bool {
+	term, ok := c.log.term(c.log.commit)
+	return ok && term == c.term
+}
+
+// flushAppends sends appends that are due. It runs when a Ready is built, so that proposals made since the previous one
+// share messages.
+func (c *Core) flushAppends() {
+	for _, id := range c.peers() {
+		for p := c.lead.progress[id]; p.wantsAppend(c.log.last(), c.log.commit); {
+			c.sendAppend(id, p)
+		}
+	}
+}
+
+func (c *Core) appendsDue() bool {
+	for _, p := range c.lead.progress {
+		if p.wantsAppend(c.log.last(), c.log.commit) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendAppend sends the entries that the follower lacks, or the snapshot if they are compacted.
+func (c *Core) sendAppend(to NodeID, p *progress) {
+	previous := p.next - 1
+	term, ok := c.log.term(previous)
+	if !ok {
+		c.sendSnapshot(to, p)
+		return
+	}
+	var entries []Entry
+	if p.window() {
+		entries = c.log.limited(previous, c.cfg.MaxMessageBytes)
+	}
+	last := previous + uint64(len(entries))
+	p.sent(last, min(c.log.commit, last))
+	c.send(Message{
+		Type: MessageAppend, To: to, Index: previous, LogTerm: term, Entries: entries, Commit: c.log.commit,
+	})
+}
+
+// sendSnapshot sends the snapshot to a replica that responds; one that may be down gets it when it is back.
+func (c *Core) sendSnapshot(to NodeID, p *progress) {
+	if !p.contacted || p.silentTicks >= c.cfg.ElectionTicks {
+		p.probe(p.match)
+		p.probeSent = true
+		return
+	}
+	s := c.log.snapshot
+	p.sentSnapshot(s.Index, c.cfg.ElectionTicks)
+	c.send(Message{Type: MessageSnapshot, To: to, Snapshot: &s})
+}
