--- /dev/null
+++ b/placement/balance.go
@@ -0,0 +1,221 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Item is something that one member at a time owns, such as an upstream. Names are unique among the items of one call.
+type Item struct {
+	Name string
+	Zone string
+	// Owner is the name of the member that owns the item now. Empty, or a name that is no member, means no owner.
+	Owner string
+	// Fixed items count for their owner and are not moved, because a hand-over is under way.
+	Fixed bool
+}
+
+// Limit returns how many of items a member may own when there are members to share them: ceil(mean)+1. The margin of one
+// keeps items in their own zone and saves moves when the counts of zones differ slightly.
+func Limit(items, members int) int {
+	return ceilMean(items, members) + 1
+}
+
+func ceilMean(items, members int) int {
+	return (items + members - 1) / members
+}
+
+// Balance returns the owner of every item, by item name. It prefers a member in the item's zone, lets no member own more
+// than Limit allows unless fixed items force it, keeps the members of a zone within one of each other where their items
+// can be moved, and otherwise leaves items where they are. Applied to its own result it moves nothing. Without members
+// the result is empty.
+func Balance(members []Member, items []Item) map[string]string {
+	if len(members) == 0 {
+		return nil
+	}
+	b := newBalancer(members, items)
+	b.returnHome()
+	b.fillOwnZone()
+	b.fillAnyZone()
+	b.enforceLimit()
+	b.levelZones()
+	owners := make(map[string]string, len(b.items))
+	for _, it := range b.items {
+		if it.owner != nil {
+			owners[it.Name] = it.owner.Name
+		}
+	}
+	return owners
+}
+
+type owner struct {
+	Member
+	items []*item
+}
+
+type item struct {
+	Item
+	owner *owner
+}
+
+type balancer struct {
+	owners []*owner
+	byZone map[string][]*owner
+	items  []*item
+	mean   int // ceil of the mean
+	limit  int
+}
+
+func newBalancer(members []Member, items []Item) *balancer {
+	b := &balancer{
+		byZone: make(map[string][]*owner),
+		mean:   ceilMean(len(items), len(members)),
+		limit:  Limit(len(items), len(members)),
+	}
+	byName := make(map[string]*owner, len(members))
+	for _, m := range members {
+		o := &owner{Member: m}
+		byName[m.Name] = o
+		b.owners = append(b.owners, o)
+	}
+	slices.SortFunc(b.owners, func(x, y *owner) int { return cmp.Compare(x.Name, y.Name) })
+	for _, o := range b.owners {
+		b.byZone[o.Zone] = append(b.byZone[o.Zone], o)
+	}
+	for _, i := range items {
+		b.items = append(b.items, &item{Item: i})
+	}
+	slices.SortFunc(b.items, func(x, y *item) int { return cmp.Compare(x.Name, y.Name) })
+	for _, it := range b.items {
+		if o := byName[it.Owner]; o != nil {
+			b.give(it, o)
+		}
+	}
+	return b
+}
+
+func (b *balancer) give(it *item, to *owner) {
+	if from := it.owner; from != nil {
+		i := slices.Index(from.items, it)
+		from.items = slices.Delete(from.items, i, i+1)
+	}
+	it.owner = to
+	to.items = append(to.items, it)
+}
+
+// least returns the candidate with the fewest items, below limit, or nil. The rendezvous score decides between equals, so
+// that the choice does not always fall on the first name.
+func least(candidates []*owner, it *item, limit int) *owner {
+	var best *owner
+	for _, o := range candidates {
+		switch {
+		case len(o.items) >= limit:
+		case best == nil, len(o.items) < len(best.items):
+			best = o
+		case len(o.items) == len(best.items) && Score(it.Name, o.Name) > Score(it.Name, best.Name):
+			best = o
+		}
+	}
+	return best
+}
+
+// returnHome moves items that another zone serves back to their own zone. It stops at the mean, one below the limit that
+// moved them away, so that a small change does not move items back and forth.
+func (b *balancer) returnHome() {
+	for _, it := range b.items {
+		if it.owner == nil || it.Fixed || it.owner.Zone == it.Zone {
+			continue
+		}
+		if o := least(b.byZone[it.Zone], it, b.mean); o != nil {
+			b.give(it, o)
+		}
+	}
+}
+
+func (b *balancer) fillOwnZone() {
+	for _, it := range b.items {
+		if it.owner != nil || it.Fixed {
+			continue
+		}
+		if o := least(b.byZone[it.Zone], it, b.limit); o != nil {
+			b.give(it, o)
+		}
+	}
+}
+
+func (b *balancer) fillAnyZone() {
+	for _, it := range b.items {
+		if it.owner == nil && !it.Fixed {
+			b.give(it, least(b.owners, it, len(b.items)+1))
+		}
+	}
+}
+
+// enforceLimit moves items away from members above the limit, those of other zones first.
+func (b *balancer) enforceLimit() {
+	for _, o := range b.owners {
+		for len(o.items) > b.limit {
+			it := o.movable()
+			if it == nil {
+				break
+			}
+			to := least(b.byZone[it.Zone], it, b.limit)
+			if to == nil {
+				to = least(b.owners, it, b.limit)
+			}
+			if to == nil {
+				break
+			}
+			b.give(it, to)
+		}
+	}
+}
+
+// levelZones moves items between the members of a zone until their counts differ by one at most.
+func (b *balancer) levelZones() {
+	for _, o := range b.owners {
+		for zone := b.byZone[o.Zone]; ; {
+			most, fewest := extremes(zone)
+			if most == nil || len(most.items)-len(fewest.items) < 2 {
+				break
+			}
+			b.give(most.movable(), fewest)
+		}
+	}
+}
+
+// extremes returns the member with the most items among those that have a movable one, or nil, and the one with the
+// fewest.
+func extremes(zone []*owner) (most, fewest *owner) {
+	for _, o := range zone {
+		if (most == nil || len(o.items) > len(most.items)) && o.movable() != nil {
+			most = o
+		}
+		if fewest == nil || len(o.items) < len(fewest.items) {
+			fewest = o
+		}
+	}
+	return most, fewest
+}
+
+// movable returns the item to give away first: one of another zone, otherwise the last by name; nil if all are fixed.
+func (o *owner) movable() *item {
+	var best *item
+	for _, it := range o.items {
+		if it.Fixed {
+			continue
+		}
+		if best == nil || it.rank(o) < best.rank(o) || it.rank(o) == best.rank(o) && it.Name > best.Name {
+			best = it
+		}
+	}
+	return best
+}
+
+// rank is 0 for an item of another zone than its owner's, and 1 otherwise.
+func (it *item) rank(o *owner) int {
+	if it.Zone != o.Zone {
+		return 0
+	}
+	return 1
+}
