dynconfig: add strict decoding, validation and canonical encoding

encoding/json accepts duplicate keys and keys that differ in case, so a checker walks the tokens first. Operators get every fault in one answer.

--- /dev/null
+++ b/dynconfig/canonical.go
@@ -0,0 +1,61 @@
+package dynconfig
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Canonical returns the canonical JSON of a configuration: the same bytes for the same configuration, whatever the order
+// in which zones, services, classes, tenants and stops were declared. It fails where a number cannot be encoded (NaN or
+// an infinity).
+func Canonical(c Config) ([]byte, error) {
+	c = sorted(c)
+	data, err := json.Marshal(c)
+	return data, errors.Wrap(err, "encode the configuration")
+}
+
+// Digest returns the SHA-256 of a canonical encoding in hexadecimal.
+func Digest(canonical []byte) string {
+	sum := sha256.Sum256(canonical)
+	return hex.EncodeToString(sum[:])
+}
+
+// Parse decodes and validates a configuration. The error is a Faults.
+func Parse(data []byte) (Config, error) {
+	c, err := Decode(data)
+	if err != nil {
+		return Config{}, err
+	}
+	if faults := c.Validate(); len(faults) > 0 {
+		return Config{}, faults
+	}
+	return c, nil
+}
+
+// sorted returns a copy in canonical order. None of the lists has an order with a meaning: the longest prefix selects a
+// class, and the other lists are sets.
+func sorted(c Config) Config {
+	c.Zones = sortedBy(c.Zones, func(z Zone) string { return z.Name })
+	c.Tenants = sortedBy(c.Tenants, func(t Tenant) string { return t.Name })
+	c.Services = sortedBy(c.Services, func(s Service) string { return s.Name })
+	for i := range c.Services {
+		c.Services[i].Classes = sortedBy(c.Services[i].Classes, func(k Class) string { return k.Name })
+	}
+	c.Stops = slices.Clone(c.Stops)
+	slices.SortStableFunc(c.Stops, func(a, b Stop) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return c
+}
+
+// sortedBy returns a sorted copy that is never nil, because nil would be encoded as null.
+func sortedBy[T any](list []T, name func(T) string) []T {
+	out := append(make([]T, 0, len(list)), list...)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
--- /dev/null
+++ b/dynconfig/decode.go
@@ -0,0 +1,210 @@
+package dynconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// MaxConfigBytes bounds a whole encoded configuration.
+const MaxConfigBytes = 4 << 20
+
+// maxDecodeFaults bounds how many faults of form are collected, so that a hostile input cannot make the list grow.
+const maxDecodeFaults = 1000
+
+// Decode reads a configuration from JSON. It refuses unknown fields (names are case-sensitive), duplicate keys, null,
+// wrong types and trailing data. The error is a Faults. Decode does not call Validate.
+func Decode(data []byte) (Config, error) {
+	var c Config
+	if len(data) > MaxConfigBytes {
+		return c, Faults{{"$", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxConfigBytes)}}
+	}
+	k := checker{decoder: json.NewDecoder(bytes.NewReader(data))}
+	k.decoder.UseNumber()
+	err := k.value("$", reflect.TypeFor[Config]())
+	if err == nil {
+		_, err = k.decoder.Token()
+		if err == nil {
+			k.fault("$", "data after the configuration", "one JSON object")
+		} else if err == io.EOF {
+			err = nil
+		}
+	}
+	if err != nil {
+		k.fault("$", fmt.Sprintf("%+q at byte %d", err.Error(), k.decoder.InputOffset()), "valid JSON")
+	}
+	if len(k.faults) > 0 {
+		return c, k.faults
+	}
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Config{}, Faults{{"$", show(err.Error()), "valid JSON"}}
+	}
+	return c, nil
+}
+
+// checker walks the tokens of a JSON text next to the Go type that it will be decoded to. encoding/json alone accepts
+// duplicate keys and keys that differ in case.
+type checker struct {
+	decoder *json.Decoder
+	faults  Faults
+}
+
+func (k *checker) fault(path, value, allowed string) {
+	if len(k.faults) < maxDecodeFaults {
+		k.faults = append(k.faults, Fault{path, value, allowed})
+	}
+}
+
+// value checks one value. The error is that of the JSON syntax; other faults are collected.
+func (k *checker) value(path string, t reflect.Type) error {
+	token, err := k.decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch {
+	case token == json.Delim('{') && t.Kind() == reflect.Struct:
+		return k.object(path, t)
+	case token == json.Delim('[') && t.Kind() == reflect.Slice:
+		return k.array(path, t.Elem())
+	}
+	if !scalarFits(token, t) {
+		k.fault(path, showToken(token), allowedType(t))
+	}
+	if _, ok := token.(json.Delim); ok {
+		return k.skipOpened()
+	}
+	return nil
+}
+
+func (k *checker) object(path string, t reflect.Type) error {
+	fields := fieldTypes(t)
+	var seen []string
+	for k.decoder.More() {
+		token, err := k.decoder.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		if slices.Contains(seen, key) {
+			k.fault(path, "duplicate key "+show(key), "each key once")
+		} else if _, known := fields[key]; known {
+			seen = append(seen, key) // Unknown keys are not kept, so that the list stays as short as the type.
+		}
+		if field, known := fields[key]; known {
+			err = k.value(path+"."+key, field)
+		} else {
+			k.fault(path, "unknown field "+show(key), "the fields of "+t.Name())
+			err = k.skipValue()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	_, err := k.decoder.Token()
+	return err
+}
+
+func (k *checker) array(path string, elem reflect.Type) error {
+	for i := 0; k.decoder.More(); i++ {
+		if err := k.value(path+"["+strconv.Itoa(i)+"]", elem); err != nil {
+			return err
+		}
+	}
+	_, err := k.decoder.Token()
+	return err
+}
+
+func (k *checker) skipValue() error {
+	token, err := k.decoder.Token()
+	if err != nil {
+		return err
+	}
+	if _, ok := token.(json.Delim); ok {
+		return k.skipOpened()
+	}
+	return nil
+}
+
+// skipOpened skips the rest of an object or array whose opening token was read.
+func (k *checker) skipOpened() error {
+	for depth := 1; depth > 0; {
+		token, err := k.decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+	}
+	return nil
+}
+
+func fieldTypes(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		fields[name] = f.Type
+	}
+	return fields
+}
+
+func scalarFits(token json.Token, t reflect.Type) bool {
+	switch v := token.(type) {
+	case string:
+		return t.Kind() == reflect.String
+	case bool:
+		return t.Kind() == reflect.Bool
+	case json.Number:
+		switch t.Kind() {
+		case reflect.Int, reflect.Int64:
+			_, err := strconv.ParseInt(v.String(), 10, 64)
+			return err == nil
+		case reflect.Float64:
+			_, err := strconv.ParseFloat(v.String(), 64)
+			return err == nil
+		}
+	}
+	return false
+}
+
+func showToken(token json.Token) string {
+	switch v := token.(type) {
+	case nil:
+		return "null"
+	case json.Delim:
+		if v == '{' {
+			return "an object"
+		}
+		return "an array"
+	case json.Number:
+		s := v.String()
+		return s[:min(len(s), maxShownValue)]
+	default:
+		return show(v)
+	}
+}
+
+func allowedType(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "an object"
+	case reflect.Slice:
+		return "an array"
+	case reflect.Int, reflect.Int64:
+		return "a 64-bit integer"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	default:
+		return "a string"
+	}
+}
