--- /dev/null
+++ b/controlstate/applyconfig.go
@@ -0,0 +1,57 @@
+package controlstate
+
+import (
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// applyConfig is a compare-and-set on the version. An invalid configuration leaves no record, because sending it again
+// is refused again; accepted changes and conflicts do.
+func (m *Machine) applyConfig(c *ApplyConfig) Result {
+	s := &m.state
+	if !within(c.ChangeID, 1, maxIDBytes) {
+		return m.configResult(resultcode.MalformedRequest, "the change id must have 1 to 128 bytes")
+	}
+	first := s.changes.byID[c.ChangeID]
+	config, canonical, err := parseConfig(c.JSON)
+	if err != nil && first == nil {
+		return m.configResult(resultcode.InvalidConfiguration, err.Error())
+	}
+	digest := dynconfig.Digest(canonical)
+	if first != nil {
+		if err != nil || first.BaseVersion != c.BaseVersion || first.Digest != digest {
+			return m.configResult(resultcode.ChangeIDReused, "the change id was used for a different change")
+		}
+		return first.result()
+	}
+	if len(s.changes.order) >= maxChangesKept {
+		return m.configResult(resultcode.ControlUnavailable, "too many changes within 24 hours")
+	}
+	r := Result{Code: resultcode.VersionConflict, Message: "the base version is not the current version"}
+	if c.BaseVersion == s.configVersion {
+		r = Result{}
+		s.config, s.configJSON, s.configDigest = config, canonical, digest
+		s.configVersion++
+		m.removeOrphans()
+		m.changed()
+	}
+	record := &changeRecord{
+		ID: c.ChangeID, AtUnixMilli: s.now, BaseVersion: c.BaseVersion, Digest: digest,
+		Code: r.Code, Message: r.Message, Version: s.configVersion, CurrentDigest: s.configDigest,
+	}
+	s.changes.add(record)
+	return record.result()
+}
+
+func (m *Machine) configResult(code resultcode.Code, message string) Result {
+	return Result{Code: code, Message: message, ConfigVersion: m.state.configVersion, ConfigDigest: m.state.configDigest}
+}
+
+func parseConfig(json []byte) (dynconfig.Config, []byte, error) {
+	config, err := dynconfig.Parse(json)
+	if err != nil {
+		return config, nil, err
+	}
+	canonical, err := dynconfig.Canonical(config)
+	return config, canonical, err
+}
--- /dev/null
+++ b/controlstate/assign.go
@@ -0,0 +1,88 @@
+package controlstate
+
+import "github.com/bramleypick/bramleypick/resultcode"
+
+func (m *Machine) assign(c *Assign) Result {
+	u, session := m.state.upstreams.byID[c.UpstreamID], m.state.sessions.byID[c.SessionID]
+	switch {
+	case u == nil:
+		return unknownUpstream(c.UpstreamID)
+	case session == nil:
+		return unknownSession(c.SessionID)
+	case session.Leaving:
+		return failed(resultcode.ShuttingDown, "session %d is leaving", c.SessionID)
+	case u.Owner == c.SessionID && u.Epoch == c.Epoch+1:
+		return Result{Epoch: u.Epoch} // A resend of the command that gave it the upstream.
+	case u.Epoch != c.Epoch:
+		return staleEpoch(u)
+	case m.state.config.Service(u.Service) == nil:
+		return failed(resultcode.UnknownService, "the configuration has no service %q", u.Service)
+	case u.Owner == 0:
+		m.setOwner(u, c.SessionID)
+	default:
+		to := c.SessionID
+		if to == u.Owner {
+			to = 0 // Assigning to the owner cancels a hand-over.
+		}
+		if u.MovingTo != to {
+			u.MovingTo = to
+			m.changed()
+		}
+	}
+	return Result{Epoch: u.Epoch}
+}
+
+func (m *Machine) release(c *Release) Result {
+	u := m.state.upstreams.byID[c.UpstreamID]
+	switch {
+	case !m.state.sessions.alive(c.SessionID):
+		return unknownSession(c.SessionID)
+	case c.Remaining < 0 || c.Remaining > maxRemaining:
+		return failed(resultcode.MalformedRequest, "remaining is %d, outside 0 to %d", c.Remaining, maxRemaining)
+	case u == nil:
+		return unknownUpstream(c.UpstreamID)
+	case u.Owner != c.SessionID || u.Epoch != c.Epoch:
+		return staleEpoch(u)
+	}
+	to := u.MovingTo
+	if next := m.state.sessions.byID[to]; next == nil || next.Leaving || m.state.config.Service(u.Service) == nil {
+		to = 0
+	}
+	u.Remaining, u.OwnerLost = c.Remaining, false
+	m.setOwner(u, to)
+	m.removeIfOrphan(u)
+	return Result{Epoch: u.Epoch}
+}
+
+// setOwner changes the owner, or takes it away with 0, and ends a hand-over.
+func (m *Machine) setOwner(u *UpstreamInfo, session uint64) {
+	u.Owner, u.MovingTo = session, 0
+	u.Epoch++
+	m.changed()
+}
+
+// freeUpstreams takes the upstreams of an expired session away from it.
+func (m *Machine) freeUpstreams(session uint64) {
+	for _, u := range m.state.upstreams.byID {
+		if u.Owner == session {
+			u.Remaining, u.OwnerLost = 0, true
+			m.setOwner(u, 0)
+			m.removeIfOrphan(u)
+		}
+	}
+}
+
+// cancelHandOvers ends the hand-overs to a session that leaves or expired, so that the leader can plan others.
+func (m *Machine) cancelHandOvers(to uint64) {
+	for _, u := range m.state.upstreams.byID {
+		if u.MovingTo == to {
+			u.MovingTo = 0
+		}
+	}
+}
+
+func staleEpoch(u *UpstreamInfo) Result {
+	r := failed(resultcode.StaleEpoch, "upstream %s is owned by session %d at epoch %d", u.ID, u.Owner, u.Epoch)
+	r.Epoch = u.Epoch
+	return r
+}
--- /dev/null
+++ b/controlstate/machine.go
@@ -0,0 +1,141 @@
+package controlstate
+
+import (
+	"sync"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// Options are the limits of a Machine. They must be the same on every replica, because they decide results.
+type Options struct {
+	// MaxClaims bounds the claims held. Default 1,000,000; zero means the default.
+	MaxClaims int
+	// MaxAnswerBytes bounds the recorded answers together, in bytes. Further answers are recorded as too large. Default
+	// 512 MiB; zero means the default.
+	MaxAnswerBytes int
+}
+
+// Machine is the replicated state machine. Its methods may be called from any goroutine; Apply and Restore are meant for
+// one, which calls them in the order of the log.
+type Machine struct {
+	opts Options
+
+	mu    sync.Mutex
+	state state
+	// view is the current view, or nil if it must be built again. It is built when it is read, so that a burst of changes
+	// costs one copy.
+	view *View
+	plan plan
+}
+
+// state is everything that a snapshot holds.
+type state struct {
+	index     uint64 // Of the last command applied.
+	now       int64  // Largest AtUnixMilli seen, in ms since the Unix epoch.
+	viewIndex uint64 // Of the last change visible in the view.
+
+	config        dynconfig.Config
+	configJSON    []byte // Canonical.
+	configVersion uint64
+	configDigest  string
+
+	changes   changeTable
+	sessions  sessionTable
+	upstreams upstreamTable
+	claims    claimTable
+	crashes   crashTable
+}
+
+// New returns an empty Machine.
+func New(opts Options) *Machine {
+	if opts.MaxClaims == 0 {
+		opts.MaxClaims = DefaultMaxClaims
+	}
+	if opts.MaxAnswerBytes == 0 {
+		opts.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	return &Machine{opts: opts, state: newState()}
+}
+
+func newState() state {
+	return state{
+		changes:   newChangeTable(),
+		sessions:  newSessionTable(),
+		upstreams: newUpstreamTable(),
+		claims:    newClaimTable(),
+		crashes:   newCrashTable(),
+	}
+}
+
+// Apply applies the command at a log index and returns the encoded Result. Indexes must rise; a command at an index that
+// was applied already changes nothing.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	encoded, err := EncodeResult(m.apply(index, data))
+	if err != nil {
+		panic(err) // Result holds only types that always encode.
+	}
+	return encoded
+}
+
+func (m *Machine) apply(index uint64, data []byte) Result {
+	if index <= m.state.index {
+		return failed(resultcode.MalformedCommand, "index %d was applied already; the last is %d", index, m.state.index)
+	}
+	m.state.index = index
+	c, err := DecodeCommand(data)
+	if err != nil {
+		return failed(resultcode.MalformedCommand, "%+q", err.Error())
+	}
+	m.advance(c.AtUnixMilli)
+	switch c.Kind {
+	case KindApplyConfig:
+		return m.applyConfig(c.ApplyConfig)
+	case KindOpenSession:
+		return m.openSession(c.OpenSession)
+	case KindLeaveSession:
+		return m.leaveSession(c.LeaveSession)
+	case KindExpireSession:
+		return m.expireSession(c.ExpireSession)
+	case KindRegisterUpstream:
+		return m.registerUpstream(c.RegisterUpstream)
+	case KindRemoveUpstream:
+		return m.removeUpstream(c.RemoveUpstream)
+	case KindAssign:
+		return m.assign(c.Assign)
+	case KindRelease:
+		return m.release(c.Release)
+	case KindBeginClaim:
+		return m.beginClaim(c.BeginClaim)
+	case KindFinishClaim:
+		return m.finishClaim(c.FinishClaim)
+	case KindReleaseClaim:
+		return m.releaseClaim(c.ReleaseClaim)
+	default: // KindReportCrash; DecodeCommand refuses other kinds.
+		return m.reportCrash(c.ReportCrash)
+	}
+}
+
+// advance moves the time forward and drops what has become too old.
+func (m *Machine) advance(at int64) {
+	s := &m.state
+	s.now = max(s.now, at)
+	s.changes.prune(s.now)
+	s.sessions.prune(s.now)
+	s.claims.prune(s.now)
+	if s.crashes.prune(s.now) {
+		m.changed()
+	}
+}
+
+// changed records that something visible to gateways changed.
+func (m *Machine) changed() {
+	m.state.viewIndex = m.state.index
+	m.view = nil
+}
+
+func failed(c resultcode.Code, format string, args ...any) Result {
+	return Result{Code: c, Message: resultcode.Errorf(c, format, args...).Message}
+}
--- /dev/null
+++ b/controlstate/restore.go
@@ -0,0 +1,105 @@
+package controlstate
+
+import (
+	"unique"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+)
+
+// Restore replaces the state by that of a snapshot. On an error the state stays as it was.
+func (m *Machine) Restore(data []byte) error {
+	var snap snapshot
+	if err := snapshotDecMode.Unmarshal(data, &snap); err != nil {
+		return errors.Wrap(err, "decode a snapshot")
+	}
+	if snap.Format != snapshotFormat {
+		return errors.Errorf("the snapshot has the format %d, not %d", snap.Format, snapshotFormat)
+	}
+	s, err := snap.state()
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state, m.view, m.plan = s, nil, plan{}
+	return nil
+}
+
+func (snap *snapshot) state() (state, error) {
+	s := newState()
+	s.index, s.now, s.viewIndex = snap.Index, snap.NowUnixMilli, snap.ViewIndex
+	s.configVersion = snap.ConfigVersion
+	if snap.ConfigVersion > 0 {
+		// The configuration is decoded without validation: it was valid when it was accepted, and a newer binary with
+		// stricter rules must still start.
+		config, err := dynconfig.Decode(snap.ConfigJSON)
+		if err != nil {
+			return s, errors.Wrap(err, "decode the configuration of a snapshot")
+		}
+		s.config, s.configJSON, s.configDigest = config, snap.ConfigJSON, dynconfig.Digest(snap.ConfigJSON)
+	}
+	for _, r := range snap.Changes {
+		if r == nil {
+			return s, errors.New("the snapshot has an empty change")
+		}
+		s.changes.add(r)
+	}
+	if err := snap.addSessions(&s); err != nil {
+		return s, err
+	}
+	for i := range snap.Upstreams {
+		s.upstreams.add(&snap.Upstreams[i])
+	}
+	for _, r := range snap.Crashes {
+		if r == nil {
+			return s, errors.New("the snapshot has an empty crash record")
+		}
+		s.crashes.byKey[r.Key] = r
+	}
+	s.crashes.schedule()
+	for i := range snap.Claims {
+		c, err := snap.Claims[i].claim()
+		if err != nil {
+			return s, err
+		}
+		s.claims.add(c)
+	}
+	return s, nil
+}
+
+func (snap *snapshot) addSessions(s *state) error {
+	for i := range snap.Sessions {
+		s.sessions.byID[snap.Sessions[i].SessionID] = &snap.Sessions[i]
+	}
+	for _, list := range [][]*openRecord{snap.Opens, snap.Closed} {
+		for _, r := range list {
+			if r == nil {
+				return errors.New("the snapshot has an empty session record")
+			}
+			s.sessions.opens[r.OpenID] = r
+		}
+	}
+	s.sessions.closed = snap.Closed
+	return nil
+}
+
+func (r *claimRecord) claim() (*claim, error) {
+	if r.State < claimRunning || r.State > claimReleased {
+		return nil, errors.Errorf("claim %d of the snapshot has the unknown state %d", r.ID, r.State)
+	}
+	if r.State == claimAnswered || r.State == claimTooLarge {
+		var answer Answer
+		if err := decMode.Unmarshal(r.Answer, &answer); err != nil {
+			return nil, errors.Wrapf(err, "decode the answer of claim %d of the snapshot", r.ID)
+		}
+	}
+	key := r.Key
+	key.Service = unique.Make(key.Service).Value()
+	key.Tenant = unique.Make(key.Tenant).Value()
+	return &claim{
+		key: key, id: r.ID, session: r.Session, attempt: r.Attempt, digest: string(r.Digest),
+		base: r.Base, horizon: r.Horizon, state: r.State, answer: r.Answer, heapPos: -1,
+	}, nil
+}
--- /dev/null
+++ b/controlstate/sessions.go
@@ -0,0 +1,100 @@
+package controlstate
+
+import "github.com/bramleypick/bramleypick/resultcode"
+
+// openRecord remembers which session an OpenSession opened, also for a time after the session expired: a copy of the
+// command that arrives late must not open a second one.
+type openRecord struct {
+	OpenID      string      `cbor:"1,keyasint"`
+	AtUnixMilli int64       `cbor:"2,keyasint"`
+	Session     SessionInfo `cbor:"3,keyasint"` // As opened.
+}
+
+type sessionTable struct {
+	byID   map[uint64]*SessionInfo
+	opens  map[string]*openRecord
+	closed []*openRecord // Records of expired sessions, in the order of expiry; AtUnixMilli is when they expired.
+}
+
+func newSessionTable() sessionTable {
+	return sessionTable{byID: make(map[uint64]*SessionInfo), opens: make(map[string]*openRecord)}
+}
+
+// alive tells whether the session may act.
+func (t *sessionTable) alive(id uint64) bool {
+	return t.byID[id] != nil
+}
+
+func (t *sessionTable) prune(now int64) {
+	for len(t.closed) > 0 && (len(t.closed) > maxOpenRecords || t.closed[0].AtUnixMilli+openKeepMillis < now) {
+		delete(t.opens, t.closed[0].OpenID)
+		t.closed[0] = nil
+		t.closed = t.closed[1:]
+	}
+}
+
+func (m *Machine) openSession(c *OpenSession) Result {
+	t := &m.state.sessions
+	if !within(c.Gateway, 1, maxIDBytes) || !within(c.OpenID, 1, maxIDBytes) || !within(c.Zone, 1, maxIDBytes) ||
+		!within(c.CallerAddress, 0, maxAddressBytes) || !within(c.PeerAddress, 0, maxAddressBytes) {
+		return failed(resultcode.MalformedRequest, "a field of the session is empty or too long")
+	}
+	info := SessionInfo{
+		SessionID: m.state.index, Gateway: c.Gateway, Zone: c.Zone,
+		CallerAddress: c.CallerAddress, PeerAddress: c.PeerAddress,
+	}
+	if r := t.opens[c.OpenID]; r != nil {
+		info.SessionID = r.Session.SessionID
+		switch {
+		case info != r.Session:
+			return failed(resultcode.ChangeIDReused, "the open id was used for a different session")
+		case !t.alive(info.SessionID):
+			return failed(resultcode.UnknownSession, "session %d has expired", info.SessionID)
+		}
+		return Result{SessionID: info.SessionID}
+	}
+	if len(t.byID) >= maxSessions {
+		return failed(resultcode.ControlUnavailable, "there are %d sessions, the most allowed", len(t.byID))
+	}
+	t.opens[c.OpenID] = &openRecord{OpenID: c.OpenID, Session: info}
+	t.byID[info.SessionID] = &info
+	m.changed()
+	return Result{SessionID: info.SessionID}
+}
+
+func (m *Machine) leaveSession(c *LeaveSession) Result {
+	info := m.state.sessions.byID[c.SessionID]
+	if info == nil {
+		return unknownSession(c.SessionID)
+	}
+	if !info.Leaving {
+		info.Leaving = true
+		m.cancelHandOvers(c.SessionID)
+		m.changed()
+	}
+	return Result{SessionID: c.SessionID}
+}
+
+func (m *Machine) expireSession(c *ExpireSession) Result {
+	t := &m.state.sessions
+	if !t.alive(c.SessionID) {
+		return unknownSession(c.SessionID)
+	}
+	delete(t.byID, c.SessionID)
+	for _, r := range t.opens {
+		if r.Session.SessionID == c.SessionID {
+			r.AtUnixMilli = m.state.now
+			t.closed = append(t.closed, r)
+			break
+		}
+	}
+	m.cancelHandOvers(c.SessionID)
+	m.freeUpstreams(c.SessionID)
+	m.state.claims.sessionEnded(c.SessionID)
+	m.changed()
+	return Result{SessionID: c.SessionID}
+}
+
+func unknownSession(id uint64) Result {
+	return failed(resultcode.UnknownSession, "session %d expired or was never opened", id)
+}
--- /dev/null
+++ b/controlstate/snapshot.go
@@ -0,0 +1,79 @@
+package controlstate
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// snapshotFormat is raised when the encoding of snapshots changes.
+const snapshotFormat = 1
+
+// snapshot is the encoding of state. Its lists have a defined order, so that equal states give equal bytes.
+type snapshot struct {
+	Format        int             `cbor:"1,keyasint"`
+	Index         uint64          `cbor:"2,keyasint"`
+	NowUnixMilli  int64           `cbor:"3,keyasint"`
+	ViewIndex     uint64          `cbor:"4,keyasint"`
+	ConfigVersion uint64          `cbor:"5,keyasint"`
+	ConfigJSON    []byte          `cbor:"6,keyasint,omitempty"`
+	Changes       []*changeRecord `cbor:"7,keyasint,omitempty"`  // In the order applied.
+	Sessions      []SessionInfo   `cbor:"8,keyasint,omitempty"`  // By id.
+	Opens         []*openRecord   `cbor:"9,keyasint,omitempty"`  // Of live sessions, by open id.
+	Closed        []*openRecord   `cbor:"10,keyasint,omitempty"` // In the order of expiry.
+	Upstreams     []UpstreamInfo  `cbor:"11,keyasint,omitempty"` // By id.
+	Claims        []claimRecord   `cbor:"12,keyasint,omitempty"` // By claim id.
+	Crashes       []*crashRecord  `cbor:"13,keyasint,omitempty"` // By key.
+}
+
+// claimRecord is the encoding of a claim.
+type claimRecord struct {
+	Key     ClaimKey   `cbor:"1,keyasint"`
+	ID      uint64     `cbor:"2,keyasint"`
+	Session uint64     `cbor:"3,keyasint"`
+	Attempt string     `cbor:"4,keyasint"`
+	Digest  []byte     `cbor:"5,keyasint"`
+	Base    int64      `cbor:"6,keyasint"`
+	Horizon int64      `cbor:"7,keyasint"`
+	State   claimState `cbor:"8,keyasint"`
+	Answer  []byte     `cbor:"9,keyasint,omitempty"`
+}
+
+// Snapshot returns the encoded state. Equal states have equal snapshots.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &m.state
+	v := s.buildView()
+	data, err := encMode.Marshal(snapshot{
+		Format: snapshotFormat, Index: s.index, NowUnixMilli: s.now, ViewIndex: s.viewIndex,
+		ConfigVersion: s.configVersion, ConfigJSON: s.configJSON,
+		Changes: s.changes.order, Sessions: v.Sessions, Opens: s.sessions.liveOpens(), Closed: s.sessions.closed,
+		Upstreams: v.Upstreams, Claims: s.claims.records(), Crashes: s.crashes.sorted(),
+	})
+	return data, errors.Wrap(err, "encode a snapshot")
+}
+
+func (t *sessionTable) liveOpens() []*openRecord {
+	var opens []*openRecord
+	for _, r := range t.opens {
+		if t.alive(r.Session.SessionID) {
+			opens = append(opens, r)
+		}
+	}
+	slices.SortFunc(opens, func(a, b *openRecord) int { return cmp.Compare(a.OpenID, b.OpenID) })
+	return opens
+}
+
+func (t *claimTable) records() []claimRecord {
+	records := make([]claimRecord, 0, len(t.byKey))
+	for _, c := range t.byKey {
+		records = append(records, claimRecord{
+			Key: c.key, ID: c.id, Session: c.session, Attempt: c.attempt, Digest: []byte(c.digest),
+			Base: c.base, Horizon: c.horizon, State: c.state, Answer: c.answer,
+		})
+	}
+	slices.SortFunc(records, func(a, b claimRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return records
+}
--- /dev/null
+++ b/controlstate/upstreams.go
@@ -0,0 +1,143 @@
+package controlstate
+
+import (
+	"net/netip"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+type upstreamTable struct {
+	byID      map[string]*UpstreamInfo
+	byAddress map[string]*UpstreamInfo
+	inService map[string]int
+}
+
+func newUpstreamTable() upstreamTable {
+	return upstreamTable{
+		byID:      make(map[string]*UpstreamInfo),
+		byAddress: make(map[string]*UpstreamInfo),
+		inService: make(map[string]int),
+	}
+}
+
+func (t *upstreamTable) add(u *UpstreamInfo) {
+	t.byID[u.ID] = u
+	t.byAddress[u.Address] = u
+	t.inService[u.Service]++
+}
+
+func (t *upstreamTable) remove(u *UpstreamInfo) {
+	delete(t.byID, u.ID)
+	delete(t.byAddress, u.Address)
+	if t.inService[u.Service]--; t.inService[u.Service] == 0 {
+		delete(t.inService, u.Service)
+	}
+}
+
+func (m *Machine) registerUpstream(c *RegisterUpstream) Result {
+	t := &m.state.upstreams
+	if message := c.fault(); message != "" {
+		return failed(resultcode.MalformedRequest, "%s", message)
+	}
+	service := m.state.config.Service(c.Service)
+	switch {
+	case service == nil:
+		return failed(resultcode.UnknownService, "the configuration has no service %q", c.Service)
+	case !m.state.config.HasZone(c.Zone):
+		return failed(resultcode.UnknownZone, "the configuration has no availability zone %q", c.Zone)
+	}
+	u := t.byID[c.ID]
+	if u == nil {
+		return m.addUpstream(c, service.WithDefaults().MaxUpstreams)
+	}
+	// An id keeps its service and zone too: changing them under an owner would take the upstream out of the owner's
+	// accounts while requests run there.
+	if u.Address != c.Address || u.Service != c.Service || u.Zone != c.Zone {
+		return failed(resultcode.UpstreamAddressInUse, "id %s is bound to %s in service %s and zone %s", u.ID, u.Address, u.Service, u.Zone)
+	}
+	m.updateUpstream(u, c)
+	return Result{Epoch: u.Epoch}
+}
+
+func (m *Machine) addUpstream(c *RegisterUpstream, limit int) Result {
+	t := &m.state.upstreams
+	if other := t.byAddress[c.Address]; other != nil {
+		return failed(resultcode.UpstreamAddressInUse, "address %s is bound to id %s", c.Address, other.ID)
+	}
+	if t.inService[c.Service] >= limit {
+		return failed(resultcode.UpstreamLimit, "service %s has %d upstreams, the most allowed", c.Service, limit)
+	}
+	u := &UpstreamInfo{
+		ID: c.ID, Service: c.Service, Address: c.Address, Zone: c.Zone, BootID: c.BootID,
+		Slots: c.Slots, MaxConnections: c.MaxConnections,
+		// The index is larger than the epochs of an earlier record of the same id, so that its commands are stale.
+		Epoch: m.state.index,
+	}
+	t.add(u)
+	m.changed()
+	return Result{Epoch: u.Epoch}
+}
+
+func (m *Machine) updateUpstream(u *UpstreamInfo, c *RegisterUpstream) {
+	before := *u
+	if u.BootID != c.BootID {
+		// Requests of earlier owners ended with the process that ran them.
+		u.BootID, u.Remaining, u.OwnerLost = c.BootID, 0, false
+	}
+	u.Slots, u.MaxConnections = c.Slots, c.MaxConnections
+	if *u != before {
+		m.changed()
+	}
+}
+
+// fault returns what is wrong with the fields, or "".
+func (c *RegisterUpstream) fault() string {
+	address, err := netip.ParseAddrPort(c.Address)
+	switch {
+	case !dynconfig.ValidName(c.ID):
+		return "the id is not a valid name"
+	case !within(c.BootID, 1, maxIDBytes):
+		return "the boot id must have 1 to 128 bytes"
+	// One spelling for each address; otherwise two ids could be bound to one upstream.
+	case err != nil || address.Port() == 0 || address.Addr().Is4In6() || address.String() != c.Address:
+		return "the address must be an IP address and a port in their shortest form"
+	case c.Slots < 1 || c.Slots > maxSlots:
+		return "slots must be 1 to 10000"
+	case c.MaxConnections < 1 || c.MaxConnections > maxConnections:
+		return "max_connections must be 1 to 100000"
+	}
+	return ""
+}
+
+func (m *Machine) removeUpstream(c *RemoveUpstream) Result {
+	u := m.state.upstreams.byID[c.ID]
+	switch {
+	case !m.state.sessions.alive(c.SessionID):
+		return unknownSession(c.SessionID)
+	case u == nil:
+		return unknownUpstream(c.ID)
+	case u.Owner != c.SessionID || u.BootID != c.BootID:
+		return failed(resultcode.StaleEpoch, "upstream %s has another owner or boot id", u.ID)
+	}
+	m.state.upstreams.remove(u)
+	m.changed()
+	return Result{}
+}
+
+// removeOrphans removes upstreams without owner whose service is no longer configured.
+func (m *Machine) removeOrphans() {
+	for _, u := range m.state.upstreams.byID {
+		m.removeIfOrphan(u)
+	}
+}
+
+func (m *Machine) removeIfOrphan(u *UpstreamInfo) {
+	if u.Owner == 0 && m.state.config.Service(u.Service) == nil {
+		m.state.upstreams.remove(u)
+	}
+}
+
+func unknownUpstream(id string) Result {
+	return failed(resultcode.UnknownUpstream, "no upstream has the id %+q", id)
+}
