controlstate: keep claims when a service's key horizon grows

A claim dropped after a short horizon would let its request run again once the class, or a class that took over its route, gets a longer horizon. Also keep a claim for the latest time that resends state for its key.

--- a/controlstate/applyconfig.go
+++ b/controlstate/applyconfig.go
@@ -30,6 +30,7 @@
 	r := Result{Code: resultcode.VersionConflict, Message: "the base version is not the current version"}
 	if c.BaseVersion == s.configVersion {
 		r = Result{}
+		m.noteHorizons(&config)
 		s.config, s.configJSON, s.configDigest = config, canonical, digest
 		s.configVersion++
 		m.removeOrphans()
--- a/controlstate/claims.go
+++ b/controlstate/claims.go
@@ -26,6 +26,8 @@
 		return failed(resultcode.MalformedRequest, "the key's time is more than 5 minutes in the future")
 	case c.KeyUnixMilli != 0 && c.KeyUnixMilli+c.HorizonMillis < s.now:
 		return failed(resultcode.ClaimExpired, "the key's time is more than %d ms ago", c.HorizonMillis)
+	case found == nil && s.mayHaveBeenDropped(c):
+		return failed(resultcode.ClaimExpired, "a claim of this key may have been dropped before the service's horizon was raised")
 	case found == nil:
 		return m.addClaim(c)
 	case found.state == claimReleased:
@@ -33,6 +35,7 @@
 	case found.digest != string(c.RequestDigest):
 		return failed(resultcode.ClaimMismatch, "the idempotency key was used for a different request")
 	}
+	s.claims.extend(found, c)
 	return found.answerTo(c)
 }
 
@@ -77,7 +80,7 @@
 	}
 	return &claim{
 		key: key, id: m.state.index, session: c.SessionID, attempt: c.Attempt, digest: string(c.RequestDigest),
-		base: base, horizon: c.HorizonMillis, state: claimRunning, heapPos: -1,
+		base: base, horizon: m.state.horizonOf(c), state: claimRunning, heapPos: -1,
 	}
 }
 
--- a/controlstate/claimtable.go
+++ b/controlstate/claimtable.go
@@ -40,6 +40,15 @@
 	t.setRunning(c)
 }
 
+// extend keeps a claim as long as a resent command asks for. A client may state another time for the same key, and a
+// claim that is dropped before the latest such time has aged out would let the request run again.
+func (t *claimTable) extend(c *claim, begin *BeginClaim) {
+	if begin.KeyUnixMilli > c.base || begin.HorizonMillis > c.horizon {
+		c.base, c.horizon = max(c.base, begin.KeyUnixMilli), max(c.horizon, begin.HorizonMillis)
+		t.fixExpiry(c)
+	}
+}
+
 // resolve ends a running claim.
 func (t *claimTable) resolve(c *claim, state claimState, answer []byte) {
 	set := t.running[c.session]
--- /dev/null
+++ b/controlstate/horizons.go
@@ -0,0 +1,112 @@
+package controlstate
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+)
+
+// horizonChange remembers that a class of a service may have got a longer key horizon. Without it, a request whose claim
+// was dropped after the shorter horizon could run again under the longer one.
+type horizonChange struct {
+	Service string `cbor:"1,keyasint"`
+	// KeyFloorUnixMilli is the newest creation time of a key whose claim may have been dropped by the time of the change.
+	KeyFloorUnixMilli int64 `cbor:"2,keyasint"`
+	// HorizonMillis is the longest horizon of the service since. Claims that gateways with the earlier configuration begin
+	// are kept as long.
+	HorizonMillis int64 `cbor:"3,keyasint"`
+	// UntilUnixMilli is when every key created before the change is older than any horizon.
+	UntilUnixMilli int64 `cbor:"4,keyasint"`
+}
+
+// claimRoute is what decides the horizon of a request.
+type claimRoute struct {
+	method, prefix string
+	horizon        int64
+}
+
+// claimRoutes returns the routes of the service's classes that use claims.
+func claimRoutes(s *dynconfig.Service) []claimRoute {
+	if s == nil {
+		return nil
+	}
+	var routes []claimRoute
+	for _, c := range s.Classes {
+		if !c.Idempotent {
+			routes = append(routes, claimRoute{c.Method, c.PathPrefix, c.WithDefaults().KeyHorizonMillis})
+		}
+	}
+	return routes
+}
+
+func byHorizon(a, b claimRoute) int {
+	return cmp.Compare(a.horizon, b.horizon)
+}
+
+// noteHorizons compares the current configuration with the next one, which replaces it.
+func (m *Machine) noteHorizons(next *dynconfig.Config) {
+	s := &m.state
+	for service, h := range s.horizons {
+		if h.UntilUnixMilli < s.now {
+			delete(s.horizons, service)
+		}
+	}
+	for i := range s.config.Services {
+		name := s.config.Services[i].Name
+		before, after := claimRoutes(&s.config.Services[i]), claimRoutes(next.Service(name))
+		if len(before) == 0 || slices.Equal(before, after) {
+			continue
+		}
+		// A service without such classes may get them back later with any horizon.
+		longest := int64(dynconfig.MaxKeyHorizonMillis)
+		if len(after) > 0 {
+			longest = slices.MaxFunc(after, byHorizon).horizon
+		}
+		if shortest := slices.MinFunc(before, byHorizon).horizon; longest > shortest {
+			m.lengthenHorizon(name, shortest, longest)
+		}
+	}
+}
+
+func (m *Machine) lengthenHorizon(service string, from, to int64) {
+	s := &m.state
+	h := s.horizons[service]
+	if h == nil {
+		h = &horizonChange{Service: service}
+		s.horizons[service] = h
+	}
+	h.KeyFloorUnixMilli = max(h.KeyFloorUnixMilli, s.now-from-ClockToleranceMillis)
+	h.HorizonMillis = max(h.HorizonMillis, to)
+	h.UntilUnixMilli = s.now + h.HorizonMillis + ClockToleranceMillis
+	for _, c := range s.claims.byKey {
+		if c.key.Service == service {
+			c.horizon = max(c.horizon, h.HorizonMillis)
+		}
+	}
+	heap.Init(&s.claims.expiry)
+}
+
+// mayHaveBeenDropped tells whether a claim of a key that has none now may have existed and been dropped.
+func (s *state) mayHaveBeenDropped(c *BeginClaim) bool {
+	h := s.horizons[c.Key.Service]
+	return h != nil && c.KeyUnixMilli != 0 && c.KeyUnixMilli <= h.KeyFloorUnixMilli
+}
+
+// horizonOf returns how long a claim that begins now is kept after its base time.
+func (s *state) horizonOf(c *BeginClaim) int64 {
+	if h := s.horizons[c.Key.Service]; h != nil && s.now <= h.UntilUnixMilli {
+		return max(c.HorizonMillis, h.HorizonMillis)
+	}
+	return c.HorizonMillis
+}
+
+func (s *state) sortedHorizons() []*horizonChange {
+	list := make([]*horizonChange, 0, len(s.horizons))
+	for _, h := range s.horizons {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *horizonChange) int { return cmp.Compare(a.Service, b.Service) })
+	return list
+}
--- a/controlstate/machine.go
+++ b/controlstate/machine.go
@@ -45,6 +45,7 @@
 	upstreams upstreamTable
 	claims    claimTable
 	crashes   crashTable
+	horizons  map[string]*horizonChange // By service.
 }
 
 // New returns an empty Machine.
@@ -65,6 +66,7 @@
 		upstreams: newUpstreamTable(),
 		claims:    newClaimTable(),
 		crashes:   newCrashTable(),
+		horizons:  make(map[string]*horizonChange),
 	}
 }
 
--- a/controlstate/restore.go
+++ b/controlstate/restore.go
@@ -59,6 +59,12 @@
 		s.crashes.byKey[r.Key] = r
 	}
 	s.crashes.schedule()
+	for _, h := range snap.Horizons {
+		if h == nil {
+			return s, errors.New("the snapshot has an empty horizon change")
+		}
+		s.horizons[h.Service] = h
+	}
 	for i := range snap.Claims {
 		c, err := snap.Claims[i].claim()
 		if err != nil {
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -12,19 +12,20 @@
 
 // snapshot is the encoding of state. Its lists have a defined order, so that equal states give equal bytes.
 type snapshot struct {
-	Format        int             `cbor:"1,keyasint"`
-	Index         uint64          `cbor:"2,keyasint"`
-	NowUnixMilli  int64           `cbor:"3,keyasint"`
-	ViewIndex     uint64          `cbor:"4,keyasint"`
-	ConfigVersion uint64          `cbor:"5,keyasint"`
-	ConfigJSON    []byte          `cbor:"6,keyasint,omitempty"`
-	Changes       []*changeRecord `cbor:"7,keyasint,omitempty"`  // In the order applied.
-	Sessions      []SessionInfo   `cbor:"8,keyasint,omitempty"`  // By id.
-	Opens         []*openRecord   `cbor:"9,keyasint,omitempty"`  // Of live sessions, by open id.
-	Closed        []*openRecord   `cbor:"10,keyasint,omitempty"` // In the order of expiry.
-	Upstreams     []UpstreamInfo  `cbor:"11,keyasint,omitempty"` // By id.
-	Claims        []claimRecord   `cbor:"12,keyasint,omitempty"` // By claim id.
-	Crashes       []*crashRecord  `cbor:"13,keyasint,omitempty"` // By key.
+	Format        int              `cbor:"1,keyasint"`
+	Index         uint64           `cbor:"2,keyasint"`
+	NowUnixMilli  int64            `cbor:"3,keyasint"`
+	ViewIndex     uint64           `cbor:"4,keyasint"`
+	ConfigVersion uint64           `cbor:"5,keyasint"`
+	ConfigJSON    []byte           `cbor:"6,keyasint,omitempty"`
+	Changes       []*changeRecord  `cbor:"7,keyasint,omitempty"`  // In the order applied.
+	Sessions      []SessionInfo    `cbor:"8,keyasint,omitempty"`  // By id.
+	Opens         []*openRecord    `cbor:"9,keyasint,omitempty"`  // Of live sessions, by open id.
+	Closed        []*openRecord    `cbor:"10,keyasint,omitempty"` // In the order of expiry.
+	Upstreams     []UpstreamInfo   `cbor:"11,keyasint,omitempty"` // By id.
+	Claims        []claimRecord    `cbor:"12,keyasint,omitempty"` // By claim id.
+	Crashes       []*crashRecord   `cbor:"13,keyasint,omitempty"` // By key.
+	Horizons      []*horizonChange `cbor:"14,keyasint,omitempty"` // By service.
 }
 
 // claimRecord is the encoding of a claim.
@@ -50,7 +51,7 @@
 		Format: snapshotFormat, Index: s.index, NowUnixMilli: s.now, ViewIndex: s.viewIndex,
 		ConfigVersion: s.configVersion, ConfigJSON: s.configJSON,
 		Changes: s.changes.order, Sessions: v.Sessions, Opens: s.sessions.liveOpens(), Closed: s.sessions.closed,
-		Upstreams: v.Upstreams, Claims: s.claims.records(), Crashes: s.crashes.sorted(),
+		Upstreams: v.Upstreams, Claims: s.claims.records(), Crashes: s.crashes.sorted(), Horizons: s.sortedHorizons(),
 	})
 	return data, errors.Wrap(err, "encode a snapshot")
 }
