--- /dev/null
+++ b/cmd/bramleypick/main.go
@@ -0,0 +1,33 @@
+// Command bramleypick is a load balancer's process, its checks, and its operators' and load tools.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newApp().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "bramleypick:", err)
+		os.Exit(1)
+	}
+}
+
+func newApp() *cli.Command {
+	return &cli.Command{
+		Name:  "bramleypick",
+		Usage: "an L7 load balancer for upstreams whose load shifts within milliseconds",
+		Commands: []*cli.Command{
+			runCommand(), checkCommand(),
+			applyCommand(), configCommand(), statusCommand(), stopCommand(), returnCommand(),
+			keysCommand(), trialCommand(), loadCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/bramleypick/operate.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/opclient"
+)
+
+// operatorFlags are the flags of every command that talks to the operator API.
+func operatorFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringSliceFlag{
+			Name: "address", Required: true, Sources: cli.EnvVars("BRAMLEYPICK_OPERATOR_ADDRESSES"),
+			Usage: "operator `IP:PORT` of an entry VM; repeated, the next is tried when one does not answer",
+		},
+		&cli.StringFlag{
+			Name: "token-file", Required: true, Sources: cli.EnvVars("BRAMLEYPICK_OPERATOR_TOKEN_FILE"),
+			Usage: "`FILE` with the operator credential",
+		},
+	}, more...)
+}
+
+func changeIDFlag() cli.Flag {
+	return &cli.StringFlag{Name: "change-id", Usage: "`ID` of the change; a resend with the same id changes nothing twice (default: random)"}
+}
+
+func newOperatorClient(c *cli.Command) (*opclient.Client, error) {
+	token, err := os.ReadFile(c.String("token-file"))
+	if err != nil {
+		return nil, errors.Wrap(err, "operator token")
+	}
+	return opclient.New(c.StringSlice("address"), strings.TrimSpace(string(token))), nil
+}
+
+func changeID(c *cli.Command) string {
+	if id := c.String("change-id"); id != "" {
+		return id
+	}
+	return rand.Text()
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "put a configuration in force",
+		ArgsUsage: "FILE|-",
+		Flags: operatorFlags(changeIDFlag(), &cli.Uint64Flag{
+			Name: "base-version", Usage: "`VERSION` that the configuration was made from; another operator's change in between is then refused as a conflict (default: the current one)",
+		}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Len() != 1 {
+				return errors.New("exactly one configuration file is needed")
+			}
+			data, err := readInput(c.Args().First())
+			if err != nil {
+				return err
+			}
+			if _, err := dynconfig.Parse(data); err != nil {
+				return err
+			}
+			client, err := newOperatorClient(c)
+			if err != nil {
+				return err
+			}
+			change := api.ConfigChange{ChangeID: changeID(c), Config: data}
+			if c.IsSet("base-version") {
+				base := c.Uint64("base-version")
+				change.BaseVersion = &base
+			}
+			accepted, err := client.Apply(ctx, change)
+			return printAccepted(c.Root().Writer, accepted, err)
+		},
+	}
+}
+
+func stopCommand() *cli.Command {
+	return stopOrReturn("stop", "take an upstream or an availability zone out of service", (*opclient.Client).Stop)
+}
+
+func returnCommand() *cli.Command {
+	return stopOrReturn("return", "bring an upstream or an availability zone back", (*opclient.Client).Return)
+}
+
+func stopOrReturn(name, usage string, call func(*opclient.Client, context.Context, api.StopChange) (api.Accepted, error)) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: "upstream|zone NAME", Flags: operatorFlags(changeIDFlag()),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			stop, err := parseStop(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			client, err := newOperatorClient(c)
+			if err != nil {
+				return err
+			}
+			accepted, err := call(client, ctx, api.StopChange{ChangeID: changeID(c), Stop: stop})
+			return printAccepted(c.Root().Writer, accepted, err)
+		},
+	}
+}
+
+func parseStop(args []string) (dynconfig.Stop, error) {
+	if len(args) == 2 && args[1] != "" {
+		switch args[0] {
+		case "upstream":
+			return dynconfig.Stop{Upstream: args[1]}, nil
+		case "zone":
+			return dynconfig.Stop{Zone: args[1]}, nil
+		}
+	}
+	return dynconfig.Stop{}, errors.New(`"upstream NAME" or "zone NAME" is needed`)
+}
+
+func printAccepted(out io.Writer, accepted api.Accepted, err error) error {
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "accepted as version %d, digest %s\n", accepted.ConfigVersion, accepted.ConfigDigest)
+	return nil
+}
+
+func configCommand() *cli.Command {
+	return &cli.Command{
+		Name: "config", Usage: "print the configuration in force at an entry VM", Flags: operatorFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := newOperatorClient(c)
+			if err != nil {
+				return err
+			}
+			config, err := client.Config(ctx)
+			if err != nil {
+				return err
+			}
+			return printJSON(c.Root().Writer, config)
+		},
+	}
+}
+
+func printJSON(out io.Writer, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encode the output")
+	}
+	_, err = fmt.Fprintln(out, string(data))
+	return err
+}
--- /dev/null
+++ b/cmd/bramleypick/run.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/daemon"
+	"github.com/bramleypick/bramleypick/internal/settings"
+)
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "run the process of one entry VM; SIGTERM stops it gracefully",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "settings `FILE`"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			log, err := newLog(s)
+			if err != nil {
+				return err
+			}
+			defer func() { _ = log.Sync() }()
+			d, err := daemon.New(s, log)
+			if err != nil {
+				return err
+			}
+			return d.Run(ctx)
+		},
+	}
+}
+
+func newLog(s settings.Settings) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	level, err := zap.ParseAtomicLevel(s.Log.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	config.Level = level
+	config.Sampling = nil
+	log, err := config.Build()
+	if err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	return log.With(zap.String("vm", s.Name), zap.String("zone", s.Zone)), nil
+}
--- /dev/null
+++ b/internal/daemon/busy.go
@@ -0,0 +1,21 @@
+package daemon
+
+import (
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/gateway"
+)
+
+type busyUpstream = controlproto.BusyUpstream
+
+// busyUpstreams lists the upstreams with requests of this gateway in flight that are in a planned stop or no longer owned.
+func busyUpstreams(status gateway.Status) []busyUpstream {
+	var busy []busyUpstream
+	for _, service := range status.Services {
+		for _, u := range service.Upstreams {
+			if u.InFlight > 0 && (u.Stopping || !u.Owned) {
+				busy = append(busy, busyUpstream{ID: u.ID, InFlight: u.InFlight})
+			}
+		}
+	}
+	return busy
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlclient"
+	"github.com/bramleypick/bramleypick/internal/gateway"
+	"github.com/bramleypick/bramleypick/internal/keys"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+	"github.com/bramleypick/bramleypick/internal/settings"
+)
+
+const (
+	headerReadTimeout = 10 * time.Second
+	// callerIdleTimeout closes idle connections of callers. It exceeds the usual idle limits of HTTP clients, so that the caller
+	// closes first and no request meets a closing connection.
+	callerIdleTimeout = 5 * time.Minute
+)
+
+// Daemon is one process of an entry VM.
+type Daemon struct {
+	settings  settings.Settings
+	log       *zap.Logger
+	registry  metrics.Registry
+	network   *peernet.Network
+	replica   *replica // nil without the control role
+	client    *controlclient.Client
+	session   *controlclient.Session
+	gateway   *gateway.Gateway
+	upstreams *upstreams
+	handover  *handover
+	loads     *loadReporter
+	callers   *http.Server
+	operators *http.Server
+	leaving   leavingFlag
+
+	listeners []net.Listener
+	ready     chan struct{} // closed once peers may call
+}
+
+// New provisions a daemon and opens its listeners. The settings must be valid. Nothing runs before Run.
+func New(s settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, registry: metrics.NewRegistry(), ready: make(chan struct{})}
+	token, err := os.ReadFile(s.OperatorTokenFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator token")
+	}
+	if strings.TrimSpace(string(token)) == "" {
+		return nil, errors.Errorf("operator token file %s is empty", s.OperatorTokenFile)
+	}
+	if err := d.openNetwork(); err != nil {
+		return nil, err
+	}
+	if err := d.provision(strings.TrimSpace(string(token))); err != nil {
+		d.close()
+		return nil, err
+	}
+	close(d.ready)
+	return d, nil
+}
+
+func (d *Daemon) openNetwork() error {
+	s := d.settings
+	tlsConfig, err := keys.Load(s.TLS.CAFile, s.TLS.CertFile, s.TLS.KeyFile, nil)
+	if err != nil {
+		return err
+	}
+	peers := make(map[string]string, len(s.Peers))
+	for _, p := range s.Peers {
+		peers[p.Name] = p.PeerAddress
+	}
+	d.network, err = peernet.Listen(peernet.Config{
+		Name: s.Name, Address: s.PeerAddress, TLS: tlsConfig, Peers: peers, Log: d.log.Named("peernet"),
+	}, waitingHandler{ready: d.ready, handler: peerHandler{d}})
+	return err
+}
+
+// provision builds the parts in the order in which they depend on each other.
+func (d *Daemon) provision(token string) error {
+	if d.settings.HasRole(settings.RoleControl) {
+		if err := d.startReplica(); err != nil {
+			return err
+		}
+	}
+	caller := localCaller{name: d.settings.Name, network: d.network, handler: peerHandler{d}}
+	d.client = controlclient.New(caller, controlNames(d.settings))
+	d.session = d.newSession()
+	view := d.session.View
+	d.upstreams = newUpstreams(d.client, caller, d.session.Lease(), view, d.log.Named("upstreams"))
+	if err := d.newGateway(); err != nil {
+		return err
+	}
+	d.handover = newHandover(d.client, d.session.Lease(), d.gateway.Status, d.log.Named("handover"))
+	d.loads = &loadReporter{
+		network: d.network, lease: d.session.Lease(), view: view, status: d.gateway.Status, last: make(map[string]sentLoad),
+	}
+	return d.listen(token)
+}
+
+func (d *Daemon) newSession() *controlclient.Session {
+	s := d.settings
+	return controlclient.NewSession(controlclient.SessionConfig{
+		Client: d.client,
+		Gateway: controlstate.OpenSession{
+			Gateway: s.Name, Zone: s.Zone, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress,
+		},
+		RenewInterval: time.Duration(s.RenewIntervalMillis) * time.Millisecond,
+		SetView:       func(v *controlstate.View) { d.gateway.SetView(v) },
+		Busy:          func() []busyUpstream { return busyUpstreams(d.gateway.Status()) },
+		Log:           d.log.Named("session"),
+	})
+}
+
+func (d *Daemon) newGateway() error {
+	var err error
+	d.gateway, err = gateway.New(gateway.Config{}, gateway.Dependencies{
+		Claims:    controlclient.NewClaims(d.client),
+		Lease:     d.session.Lease(),
+		NewPool:   gateway.NewUpstreamPool,
+		Forwarder: forwarder{network: d.network, view: d.session.View},
+		Crashes:   crashReporter{client: d.client},
+		Metrics:   d.registry,
+		Log:       d.log.Named("gateway"),
+	})
+	return errors.Wrap(err, "gateway")
+}
+
+func (d *Daemon) listen(token string) error {
+	callerHandler := api.NewCallerHandler(callers{view: d.session.View, upstreams: d.upstreams}, d.gateway)
+	operatorHandler := api.NewOperatorHandler(operators{client: d.client, view: d.session.View, metrics: d.registry}, token)
+	d.callers = d.newServer(d.leaving.wrap(callerHandler))
+	d.operators = d.newServer(operatorHandler)
+	for _, address := range []string{d.settings.CallerAddress, d.settings.OperatorAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		d.listeners = append(d.listeners, l)
+	}
+	return nil
+}
+
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(d.log.Named("http")),
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns an error if the replica failed or the graceful stop did not
+// complete in time.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.close()
+	background, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for _, duty := range d.duties() {
+		wg.Go(func() { duty(background) })
+	}
+	serveErrors := make(chan error, 2)
+	wg.Go(func() { serveErrors <- d.callers.Serve(d.listeners[0]) })
+	wg.Go(func() { serveErrors <- d.operators.Serve(d.listeners[1]) })
+	d.log.Info("serving", zap.String("callers", d.settings.CallerAddress), zap.String("operators", d.settings.OperatorAddress))
+	select {
+	case <-ctx.Done():
+		return d.shutdown()
+	case err := <-d.replicaFailed():
+		d.log.Error("control replica failed", zap.Error(err))
+		return errors.Wrap(err, "control replica")
+	case err := <-serveErrors:
+		return errors.Wrap(err, "serve")
+	}
+}
+
+// duties returns the background duties, one goroutine each.
+func (d *Daemon) duties() []func(context.Context) {
+	duties := []func(context.Context){d.session.Run, d.upstreams.run, d.handover.run, d.loads.run}
+	if d.replica != nil {
+		duties = append(duties, d.replica.server.Run)
+	}
+	return duties
+}
+
+// replicaFailed returns a channel that reports a failed replica, or nil without the control role.
+func (d *Daemon) replicaFailed() <-chan error {
+	if d.replica == nil {
+		return nil
+	}
+	return d.replica.node.Failed()
+}
+
+// close releases what New opened. It is safe to call after shutdown.
+func (d *Daemon) close() {
+	for _, server := range []*http.Server{d.callers, d.operators} {
+		if server != nil {
+			server.Close()
+		}
+	}
+	for _, l := range d.listeners {
+		l.Close()
+	}
+	if d.replica != nil {
+		if err := d.replica.stop(); err != nil {
+			d.log.Error("control replica not stopped", zap.Error(err))
+		}
+	}
+	d.network.Close()
+}
+
+func controlNames(s settings.Settings) []string {
+	var names []string
+	for _, name := range replicaNames(s) {
+		if name == s.Name {
+			names = append([]string{name}, names...)
+		} else {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/daemon/shutdown.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/dynconfig"
+)
+
+const (
+	// leaveTimeout bounds the command that announces the departure. Without the control group the process still drains.
+	leaveTimeout = 3 * time.Second
+	// drainInterval is the pause between two looks at what a graceful stop waits for.
+	drainInterval = 20 * time.Millisecond
+	// addressMargin is added to the time to live of address answers, for answers that were on their way.
+	addressMargin = 250 * time.Millisecond
+)
+
+// leavingFlag makes responses close their connections once the process is leaving, so that callers move to other addresses
+// between two requests and never in the middle of one.
+type leavingFlag struct {
+	leaving atomic.Bool
+}
+
+func (f *leavingFlag) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// shutdown is the graceful stop: leave the address answers, keep serving until no caller holds an old answer, hand the
+// upstreams over, finish what is in flight, end the session.
+func (d *Daemon) shutdown() error {
+	timeout := time.Duration(d.settings.Limits.ShutdownTimeoutMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	d.log.Info("stopping", zap.Duration("timeout", timeout))
+	d.leave(ctx)
+	d.waitFor(ctx, d.longestAddressTTL()+addressMargin)
+	d.leaving.leaving.Store(true)
+	err := d.drain(ctx)
+	if shutdownErr := d.gateway.Shutdown(ctx); err == nil {
+		err = shutdownErr
+	}
+	if shutdownErr := d.callers.Shutdown(ctx); err == nil {
+		err = shutdownErr
+	}
+	d.endSession(ctx)
+	d.log.Info("stopped", zap.Error(err))
+	return errors.Wrap(err, "graceful stop")
+}
+
+// leave marks the session as leaving.
+func (d *Daemon) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := d.client.Submit(ctx, controlstate.Command{
+		Kind:         controlstate.KindLeaveSession,
+		LeaveSession: &controlstate.LeaveSession{SessionID: d.session.Lease().SessionID()},
+	})
+	if err != nil {
+		d.log.Warn("departure not announced to the control group", zap.Error(err))
+	}
+}
+
+// endSession ends the session, so that nobody waits for its lease to run out.
+func (d *Daemon) endSession(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := d.client.Submit(ctx, controlstate.Command{
+		Kind:          controlstate.KindExpireSession,
+		ExpireSession: &controlstate.ExpireSession{SessionID: d.session.Lease().SessionID()},
+	})
+	if err != nil {
+		d.log.Warn("session not ended", zap.Error(err))
+	}
+}
+
+// drain waits until this gateway owns nothing that another could own, and serves nobody.
+func (d *Daemon) drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for !d.drained() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) drained() bool {
+	status := d.gateway.Status()
+	if status.Requests > 0 {
+		return false
+	}
+	view := d.session.View()
+	if view == nil || !d.session.Lease().Valid(time.Now()) {
+		return true
+	}
+	for _, u := range view.Upstreams {
+		if u.Owner == d.session.Lease().SessionID() && othersServe(view, u.Service, u.Owner) {
+			return false
+		}
+	}
+	return true
+}
+
+// othersServe tells whether a gateway other than the session's can own upstreams of the service.
+func othersServe(view *controlstate.View, service string, sessionID uint64) bool {
+	for _, info := range controlstate.GatewaysFor(view, service) {
+		if info.SessionID != sessionID {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) longestAddressTTL() time.Duration {
+	longest := dynconfig.DefaultAddressTTLMillis
+	if view := d.session.View(); view != nil {
+		for _, s := range view.Config.Services {
+			longest = max(longest, s.WithDefaults().AddressTTLMillis)
+		}
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+func (d *Daemon) waitFor(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/daemon/waiting_handler.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/bramleypick/bramleypick/internal/peernet"
+)
+
+// waitingHandler holds peers back until the daemon is provisioned, because the network listens before the parts exist that
+// need it.
+type waitingHandler struct {
+	ready   <-chan struct{}
+	handler peernet.Handler
+}
+
+func (h waitingHandler) HandleMessage(from string, data []byte) {
+	select {
+	case <-h.ready:
+		h.handler.HandleMessage(from, data)
+	default: // Messages may be lost.
+	}
+}
+
+func (h waitingHandler) HandleCall(ctx context.Context, from string, data []byte) ([]byte, error) {
+	select {
+	case <-h.ready:
+		return h.handler.HandleCall(ctx, from, data)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (h waitingHandler) HandleStream(ctx context.Context, from string, s peernet.Stream) {
+	select {
+	case <-h.ready:
+		h.handler.HandleStream(ctx, from, s)
+	case <-ctx.Done():
+		s.Abort()
+	}
+}
--- /dev/null
+++ b/internal/opclient/client.go
@@ -0,0 +1,125 @@
+// Package opclient is the operators' HTTP client. It tries the given entry VMs in turn and resends a change with the same change
+// id, so that a lost answer does not make a change twice.
+package opclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+const (
+	// requestTimeout bounds one try at one entry VM.
+	requestTimeout = 8 * time.Second
+	// maxResponseBytes bounds a response.
+	maxResponseBytes = 64 << 20
+)
+
+// Client talks to the operator API.
+type Client struct {
+	addresses []string
+	token     string
+	http      *http.Client
+}
+
+// New returns a client of the entry VMs with the given operator addresses.
+func New(addresses []string, token string) *Client {
+	return &Client{addresses: addresses, token: token, http: &http.Client{Timeout: requestTimeout}}
+}
+
+// Apply puts a configuration in force.
+func (c *Client) Apply(ctx context.Context, change api.ConfigChange) (api.Accepted, error) {
+	var accepted api.Accepted
+	return accepted, c.call(ctx, http.MethodPost, "config", change, &accepted)
+}
+
+// Stop adds a planned stop.
+func (c *Client) Stop(ctx context.Context, change api.StopChange) (api.Accepted, error) {
+	var accepted api.Accepted
+	return accepted, c.call(ctx, http.MethodPost, "stops", change, &accepted)
+}
+
+// Return removes a planned stop.
+func (c *Client) Return(ctx context.Context, change api.StopChange) (api.Accepted, error) {
+	var accepted api.Accepted
+	return accepted, c.call(ctx, http.MethodPost, "returns", change, &accepted)
+}
+
+// Status returns the leader's report.
+func (c *Client) Status(ctx context.Context) (controlproto.Report, error) {
+	var report controlproto.Report
+	return report, c.call(ctx, http.MethodGet, "status", nil, &report)
+}
+
+// Config returns the configuration in force at the first entry VM that answers.
+func (c *Client) Config(ctx context.Context) (api.CurrentConfig, error) {
+	var config api.CurrentConfig
+	return config, c.call(ctx, http.MethodGet, "config", nil, &config)
+}
+
+// call tries every address until one gives an answer that another could not better.
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return errors.Wrap(err, "encode the request")
+		}
+	}
+	var last error
+	for _, address := range c.addresses {
+		last = c.try(ctx, method, "http://"+address+api.SystemPrefix+"v1/"+path, encoded, answer)
+		if last == nil || final(last) || ctx.Err() != nil {
+			return last
+		}
+	}
+	return last
+}
+
+func (c *Client) try(ctx context.Context, method, url string, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "operator request")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "operator request")
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return errors.Wrap(err, "operator response")
+	}
+	if response.StatusCode != http.StatusOK {
+		refusal := &api.Refusal{}
+		if json.Unmarshal(data, refusal) != nil || refusal.Code == resultcode.OK {
+			return errors.Errorf("operator response with status %d", response.StatusCode)
+		}
+		return refusal
+	}
+	return errors.Wrap(json.Unmarshal(data, answer), "operator response")
+}
+
+// final tells whether another entry VM would give the same answer.
+func final(err error) bool {
+	var refusal *api.Refusal
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	switch refusal.Code {
+	case resultcode.NotLeader, resultcode.NoQuorum, resultcode.ControlUnavailable, resultcode.ChangeOutcomeUnknown:
+		return false
+	}
+	return true
+}
