--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,35 @@
+package gateway
+
+// Status is what the gateway holds now, for stops and hand-over.
+type Status struct {
+	// ViewIndex and ConfigVersion are those of the view in force here.
+	ViewIndex     uint64
+	ConfigVersion uint64
+	// Requests is how many callers are being served.
+	Requests int
+	Services []ServiceStatus // Sorted by name.
+}
+
+// ServiceStatus is the state of one service.
+type ServiceStatus struct {
+	Name   string
+	Queued int
+	// FreeSlots is how many more requests the owned upstreams could take now.
+	FreeSlots int
+	Upstreams []UpstreamStatus // Sorted by ID; those owned, and those no longer owned that still run requests.
+}
+
+// UpstreamStatus is the state of one upstream.
+type UpstreamStatus struct {
+	ID       string
+	Epoch    uint64
+	Owned    bool
+	Stopping bool
+	MovingTo uint64
+	InFlight int
+	// Limit is how many requests the upstream may hold now.
+	Limit int
+	Cold  bool
+	// Ejected is true while the upstream is left out because of its failures.
+	Ejected bool
+}
