--- /dev/null
+++ b/admission/poll.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Poll returns the dispatches, rejections and probes that are due.
+func (s *Scheduler) Poll(now time.Time) Actions {
+	s.out.Wake = time.Time{}
+	s.out.Dispatches = s.out.Dispatches[:0]
+	s.out.Probes = s.out.Probes[:0]
+	s.endEjections(now)
+	s.expire(now)
+	s.pollProbes(now)
+	s.dispatch(now)
+	s.rejectWaitless()
+	if s.queue.size > 0 {
+		s.wakeAt(s.nextDeadline)
+		s.wakeAtEjections(now)
+	}
+	out := s.out
+	// Rejections made before the next Poll must not overwrite those returned now.
+	s.out.Rejections = nil
+	return out
+}
+
+func (s *Scheduler) dispatch(now time.Time) {
+	for s.queue.size > 0 {
+		free, over := s.room(now)
+		if !free && !over {
+			return
+		}
+		var target *upstream
+		r := s.queue.first(func(r *Request) bool {
+			if !free && !r.Idempotent {
+				return false
+			}
+			target = s.choose(r, now)
+			return target != nil
+		})
+		if r == nil {
+			return
+		}
+		s.queue.serve(r)
+		s.assign(r, target, now)
+	}
+}
+
+func (s *Scheduler) assign(r *Request, u *upstream, now time.Time) {
+	s.lastID++
+	u.inFlight = append(u.inFlight, running{id: s.lastID, class: r.Class, start: now})
+	a := Assignment{UpstreamID: u.info.ID, Epoch: u.info.Epoch, id: s.lastID}
+	s.out.Dispatches = append(s.out.Dispatches, Dispatch{Request: r, Assignment: a})
+}
+
+// expire rejects waiting requests whose deadline has passed.
+func (s *Scheduler) expire(now time.Time) {
+	if s.queue.size == 0 {
+		s.nextDeadline = time.Time{}
+		return
+	}
+	if s.nextDeadline.IsZero() || now.Before(s.nextDeadline) {
+		return
+	}
+	next := time.Time{}
+	s.rejectWhere(ReasonDeadline, func(r *Request) bool {
+		if r.Deadline.IsZero() {
+			return false
+		}
+		if !now.Before(r.Deadline) {
+			return true
+		}
+		if next.IsZero() || r.Deadline.Before(next) {
+			next = r.Deadline
+		}
+		return false
+	})
+	s.nextDeadline = next
+}
+
+func (s *Scheduler) rejectWaitless() {
+	if s.queue.size == 0 {
+		return
+	}
+	if s.cfg.Policy != PolicyOwner {
+		s.rejectWhere(ReasonNoUpstream, func(*Request) bool { return true })
+		return
+	}
+	s.rejectWhere(ReasonBusy, func(r *Request) bool { return r.NoQueue })
+}
+
+// rejectUnreachable rejects waiting requests that no upstream may take any more.
+func (s *Scheduler) rejectUnreachable() {
+	s.rejectWhere(ReasonNoUpstream, func(r *Request) bool { return !s.reachable(r) })
+}
+
+// rejectWhere rejects the waiting requests that match.
+func (s *Scheduler) rejectWhere(reason Reason, match func(*Request) bool) {
+	var matched []*Request
+	for _, l := range s.queue.levels {
+		for _, t := range l.active {
+			for _, r := range t.requests {
+				if match(r) {
+					matched = append(matched, r)
+				}
+			}
+		}
+	}
+	for _, r := range matched {
+		s.queue.remove(r)
+		s.reject(r, reason)
+	}
+}
+
+// reachable tells whether an upstream could take the request, now or later.
+func (s *Scheduler) reachable(r *Request) bool {
+	for _, u := range s.order {
+		if u.usable() && !slices.Contains(r.Exclude, u.info.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) wakeAtEjections(now time.Time) {
+	for _, u := range s.order {
+		if u.usable() && u.eject.active(now) {
+			s.wakeAt(u.eject.until)
+		}
+	}
+}
--- /dev/null
+++ b/admission/ramp.go
@@ -0,0 +1,40 @@
+package admission
+
+// ramp limits an upstream after a cold start. The limit rises on completed work only: time alone proves nothing about an
+// upstream that was given no work.
+type ramp struct {
+	limit int
+	// completed counts the requests completed since the limit last changed.
+	completed int
+	// warm is true once the upstream has carried its full slots for a while.
+	warm bool
+	// since is the number of the first assignment made after the last drop. Earlier ones do not count.
+	since uint64
+}
+
+// drop starts the ramp again at the cold limit.
+func (r *ramp) drop(coldSlots int, nextAssignment uint64) {
+	*r = ramp{limit: max(1, coldSlots), since: nextAssignment}
+}
+
+// success counts a completed request.
+func (r *ramp) success(assignment uint64, slots int) {
+	if assignment < r.since || r.warm {
+		return
+	}
+	r.completed++
+	if r.completed < rampCompletions*r.limit {
+		return
+	}
+	r.completed = 0
+	if r.limit < slots {
+		r.limit++
+	} else {
+		r.warm = true
+	}
+}
+
+// full lifts the limit to the slots of an upstream that a former owner had warmed up.
+func (r *ramp) full(slots int) {
+	r.limit, r.completed = max(r.limit, slots), 0
+}
--- /dev/null
+++ b/admission/setupstreams.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// SetUpstreams replaces the upstreams of the service, owned or not. Those that are gone are kept while requests run there.
+func (s *Scheduler) SetUpstreams(list []Upstream, now time.Time) {
+	for _, u := range s.upstreams {
+		u.inView = false
+	}
+	former := s.order
+	s.order = make([]*upstream, 0, len(list))
+	for _, info := range list {
+		u := s.setUpstream(info, now)
+		u.inView = true
+		s.order = append(s.order, u)
+	}
+	for _, u := range former {
+		if !u.inView {
+			u.info.Owned = false
+			s.order = append(s.order, u)
+			s.forgetGone(u)
+		}
+	}
+	s.countUsable()
+	s.rejectUnreachable()
+}
+
+func (s *Scheduler) setUpstream(info Upstream, now time.Time) *upstream {
+	u := s.upstreams[info.ID]
+	if u == nil {
+		u = &upstream{bootID: info.BootID, estimate: newEstimate(now)}
+		u.info.BootID = info.BootID
+		s.upstreams[info.ID] = u
+		s.drop(u)
+		if info.Owned {
+			s.takeOver(u, info, false, now)
+		}
+	} else {
+		s.update(u, info, now)
+	}
+	u.info = info
+	if u.slots == 0 || u.slots > info.Slots {
+		u.slots = info.Slots
+	}
+	return u
+}
+
+func (s *Scheduler) update(u *upstream, info Upstream, now time.Time) {
+	restarted := info.BootID != u.info.BootID && info.BootID != u.bootID
+	if info.Slots != u.info.Slots {
+		u.slots = info.Slots
+	}
+	if restarted {
+		s.restarted(u, info.BootID)
+	}
+	if info.Owned && (info.Epoch != u.info.Epoch || u.probe.at.IsZero()) {
+		s.takeOver(u, info, !restarted, now)
+	}
+}
+
+// takeOver starts a new ownership. The upstream starts at the cold limit; where its boot id was known before, the first
+// report that it is not cold lifts the limit to its slots, less the requests of former owners.
+func (s *Scheduler) takeOver(u *upstream, info Upstream, knownBoot bool, now time.Time) {
+	u.foreign = info.Remaining
+	if info.OwnerLost {
+		u.foreign = max(info.Slots, info.Remaining)
+	}
+	u.slots = info.Slots
+	s.drop(u)
+	u.inherited = knownBoot
+	u.estimate = newEstimate(now)
+	u.eject = ejection{}
+	// Epoch 1 is the first owner of all.
+	u.probe = newProber(&s.cfg, info.Epoch <= 1, now)
+}
+
+func (s *Scheduler) countUsable() {
+	s.usable = 0
+	for _, u := range s.order {
+		if u.usable() {
+			s.usable++
+		}
+	}
+}
+
+// forgetGone drops an upstream that left the view once nothing runs there.
+func (s *Scheduler) forgetGone(u *upstream) {
+	if u.inView || len(u.inFlight) > 0 {
+		return
+	}
+	delete(s.upstreams, u.info.ID)
+	if i := slices.Index(s.order, u); i >= 0 {
+		s.order = slices.Delete(s.order, i, i+1)
+	}
+}
--- /dev/null
+++ b/admission/status.go
@@ -0,0 +1,57 @@
+package admission
+
+import "time"
+
+// UpstreamStatus is the state of one upstream.
+type UpstreamStatus struct {
+	ID       string
+	Epoch    uint64
+	Owned    bool
+	Stopping bool
+	Moving   bool
+	InFlight int
+	// Limit is how many requests the upstream may hold now, without the over-allowance.
+	Limit int
+	// Foreign is how many requests of former owners may still run.
+	Foreign int
+	// Cold is true while the ramp is below the slots.
+	Cold    bool
+	Ejected bool
+}
+
+// Queued returns how many requests wait.
+func (s *Scheduler) Queued() int { return s.queue.size }
+
+// FreeSlots returns how many more requests the owned upstreams can take now.
+func (s *Scheduler) FreeSlots(now time.Time) int {
+	n := 0
+	for _, u := range s.order {
+		n += u.free(now)
+	}
+	return max(0, n-s.queue.size)
+}
+
+// Usable returns how many upstreams may get new work, now or later.
+func (s *Scheduler) Usable() int { return s.usable }
+
+// Upstreams calls f for each upstream that is owned or still runs requests of this gateway.
+func (s *Scheduler) Upstreams(now time.Time, f func(UpstreamStatus)) {
+	for _, u := range s.order {
+		if !u.info.Owned && len(u.inFlight) == 0 {
+			continue
+		}
+		f(UpstreamStatus{
+			ID: u.info.ID, Epoch: u.info.Epoch, Owned: u.info.Owned, Stopping: u.info.Stopping, Moving: u.info.Moving,
+			InFlight: len(u.inFlight), Limit: u.limit(), Foreign: u.foreign,
+			Cold: u.ramp.limit < u.slots, Ejected: u.eject.active(now),
+		})
+	}
+}
+
+// InFlight returns how many requests of this gateway run on an upstream.
+func (s *Scheduler) InFlight(upstreamID string) int {
+	if u := s.upstreams[upstreamID]; u != nil {
+		return len(u.inFlight)
+	}
+	return 0
+}
--- /dev/null
+++ b/crashguard/fingerprint.go
@@ -0,0 +1,29 @@
+package crashguard
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SmallBody is the size, in bytes, up to which a body is part of the fingerprint. Larger bodies rarely repeat exactly.
+const SmallBody = 4 << 10
+
+// Fingerprint identifies requests that are likely to behave alike: service, method, path and, up to SmallBody, the body.
+func Fingerprint(service, method, path string, body []byte) string {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [...]string{service, method, path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	if len(body) <= SmallBody {
+		_, _ = d.Write(body)
+	}
+	const hexDigits = 16
+	sum := strconv.FormatUint(d.Sum64(), 16)
+	for len(sum) < hexDigits {
+		sum = "0" + sum
+	}
+	return sum
+}
