gateway: serve requests through the scheduler

The handler chain, one scheduler goroutine for each service, claims, hedges, forwarding and probes. Upstream connections, leases and claims come through interfaces so that each failure can be injected in tests.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -24,6 +24,9 @@
 	SoleScore     = 2
 	RecentScore   = 1
 	BlockScore    = 4
+	// refusedBefore is how long before a cut a refusal still counts as following it: the two are seen by different
+	// goroutines.
+	refusedBefore = 100 * time.Millisecond
 	// maxSuspects bounds the memory of a guard.
 	maxSuspects = 1024
 )
@@ -47,7 +50,9 @@
 }
 
 type upstream struct {
-	bootID  string
+	bootID string
+	// former is the boot id before it. A late view or response may still carry it.
+	former  string
 	running []run
 	cut     *cut
 	// refused is when the upstream last refused a connection.
@@ -114,7 +119,9 @@
 func (g *Guard) End(upstreamID string, id uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.upstream(upstreamID).remove(id)
+	if u := g.upstreams[upstreamID]; u != nil {
+		u.remove(id)
+	}
 }
 
 // Cut records that the connection of a request was reset or closed without a response. It returns a suspect if that
@@ -127,7 +134,7 @@
 		u.cut = &cut{at: now, bootID: u.bootID, suspect: u.suspect(upstreamID, now)}
 	}
 	u.remove(id)
-	if !u.refused.IsZero() && now.Sub(u.refused) <= ConfirmWithin {
+	if !u.refused.IsZero() && now.Sub(u.refused) <= refusedBefore {
 		return g.confirm(u, now)
 	}
 	return nil
@@ -150,11 +157,11 @@
 		return nil
 	}
 	u := g.upstream(upstreamID)
-	if u.bootID == bootID {
+	if u.bootID == bootID || u.former == bootID {
 		return nil
 	}
 	known := u.bootID != ""
-	u.bootID = bootID
+	u.former, u.bootID = u.bootID, bootID
 	u.refused = time.Time{}
 	if !known || (u.cut != nil && u.cut.bootID == bootID) {
 		return nil
--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// bodyRead reads the request body into memory. A request waits in the queue only when it is complete, so a caller that
+// sends slowly holds no slot, and a retry or a claim has all of it.
+func (g *Gateway) bodyRead(next handler) handler {
+	return func(c *call) error {
+		if c.r.Body == nil || c.r.Body == http.NoBody || c.r.ContentLength == 0 {
+			return next(c)
+		}
+		limit := int64(c.class.MaxBodyBytes)
+		if c.r.ContentLength > limit {
+			return tooLarge(limit)
+		}
+		size := limit
+		if c.r.ContentLength > 0 {
+			size = c.r.ContentLength
+		}
+		c.buffered = size
+		if g.buffered.Add(size) > g.cfg.MaxBufferedBytes {
+			return resultcode.Errorf(resultcode.QueueFull, "the gateway holds too many request bodies")
+		}
+		if err := c.readBody(limit); err != nil {
+			return err
+		}
+		return next(c)
+	}
+}
+
+func (c *call) readBody(limit int64) error {
+	// A connection without deadlines, as in tests, reports an error that does not matter.
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(c.deadline)
+	var err error
+	if length := c.r.ContentLength; length > 0 {
+		c.body = make([]byte, length)
+		_, err = io.ReadFull(c.r.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil && !time.Now().Before(c.deadline):
+		return resultcode.Errorf(resultcode.DeadlineBeforeStart, "the deadline passed while the request body arrived")
+	case err != nil:
+		return resultcode.Errorf(resultcode.MalformedRequest, "read the request body: %v", err)
+	case int64(len(c.body)) > limit:
+		return tooLarge(limit)
+	}
+	return nil
+}
+
+func tooLarge(limit int64) *resultcode.Error {
+	return resultcode.Errorf(resultcode.RequestTooLarge, "the body exceeds %d bytes", limit)
+}
--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/crashguard"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// crashReportTimeout bounds one report to the control group.
+const crashReportTimeout = 5 * time.Second
+
+// uncrashing refuses requests like those that crashed upstreams.
+func (g *Gateway) uncrashing(next handler) handler {
+	return func(c *call) error {
+		c.fingerprint = crashguard.Fingerprint(c.service.config.Name, c.r.Method, c.r.URL.Path, c.body)
+		if c.service.runtime.guard.Blocked(c.fingerprint, time.Now()) {
+			return resultcode.Errorf(resultcode.FingerprintBlocked, "requests like this one crashed upstreams")
+		}
+		return next(c)
+	}
+}
+
+// reportSuspect tells the control group about a request that may have crashed an upstream.
+func (s *service) reportSuspect(suspect *crashguard.Suspect) {
+	if suspect == nil {
+		return
+	}
+	s.g.log.Warn("upstream lost while a request ran", zap.String("service", s.name),
+		zap.String("upstream", suspect.UpstreamID), zap.String("fingerprint", suspect.Fingerprint), zap.Bool("sole", suspect.Sole))
+	if s.g.deps.Crashes == nil {
+		return
+	}
+	s.g.inBackground(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+		defer cancel()
+		s.g.deps.Crashes.Report(ctx, s.name, suspect.Fingerprint, suspect.UpstreamID, suspect.BootID)
+	})
+}
+
+// isCut tells whether an exchange ended because its connection was reset or closed.
+func isCut(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) ||
+		errors.Is(err, io.ErrUnexpectedEOF)
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// forward sends the request to a peer gateway, which decides on everything else, including the claim. It returns true if
+// the peer failed and the request may be tried here instead.
+func (g *Gateway) forward(c *call, session uint64) (again bool, err error) {
+	// The peer checks its own lease; this gateway's decides whether the request may cause any work at all.
+	if !g.deps.Lease.Valid(time.Now()) {
+		return false, leaseLost()
+	}
+	r := c.outgoing()
+	id := g.tryID(c)
+	r.Header.Set(headerRequestID, id)
+	r.Header.Set(headerHop, "1")
+	g.metrics.count(c.service.config.Name, "forwards")
+	resp, err := g.deps.Forwarder.Forward(c.ctx, session, r.WithContext(c.ctx))
+	if err == nil {
+		return false, g.respondForwarded(c, resp, id)
+	}
+	if c.callerGone() {
+		return false, errCallerGone
+	}
+	failure := resultcode.Errorf(resultcode.OutcomeUnknown, "forward to a peer gateway: %v", err)
+	c.mayHaveRun(failure)
+	if c.ctx.Err() != nil || !c.class.Idempotent || !c.service.runtime.retries.Take(time.Now()) {
+		return false, failure
+	}
+	return true, nil
+}
+
+// respondForwarded passes a peer's answer on, with the code and the replay mark that the peer set.
+func (g *Gateway) respondForwarded(c *call, resp *http.Response, id string) error {
+	defer func() { _ = resp.Body.Close() }()
+	if echo := resp.Header.Get(headerRequestID); echo != "" && echo != id {
+		return resultcode.Errorf(resultcode.BrokenResponse, "the response belongs to another request")
+	}
+	for _, name := range [...]string{headerCode, headerReplayed} {
+		if value := resp.Header.Get(name); value != "" {
+			c.w.Header().Set(name, value)
+		}
+	}
+	a := &attempt{g: g, c: c, service: c.service.runtime, ctx: c.ctx, cancel: func() {}, resp: resp, ended: true}
+	if !hasBody(c.r.Method, resp.StatusCode) {
+		a.complete = true
+		return c.writeWhole(a)
+	}
+	return g.stream(c, a)
+}
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/bramleypick/bramleypick/admission"
+)
+
+// maxHealth bounds the body of a health response that is read, in bytes. A longer one is not valid.
+const maxHealth = 256
+
+// health is the body of a response to GET /health.
+type health struct {
+	BootID   string `json:"boot_id"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"inflight"`
+	Cold     bool   `json:"cold"`
+}
+
+// probe asks an upstream for its load on a goroutine of its own, so that a slow answer holds nothing up.
+func (s *service) probe(p admission.Probe) {
+	u := s.g.snapshot.Load().upstream(s.name, p.UpstreamID)
+	go func() {
+		result := s.g.measure(s.name, u, p)
+		s.g.metrics.probe(s.name, result.Bytes)
+		if result.OK {
+			s.reportSuspect(s.guard.Boot(p.UpstreamID, result.Report.BootID, time.Now()))
+		}
+		s.send(event{kind: eventProbeDone, probe: p, probeResult: result})
+	}()
+}
+
+func (g *Gateway) measure(service string, u *upstreamView, p admission.Probe) (result admission.ProbeResult) {
+	if u == nil || u.pool == nil || g.mayStart(service, p.UpstreamID, p.Epoch) != startAllowed {
+		return result
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.ProbeTimeout)
+	defer cancel()
+	conn, err := u.pool.Connect(ctx, false)
+	if err != nil {
+		return result
+	}
+	if g.mayStart(service, p.UpstreamID, p.Epoch) != startAllowed {
+		conn.Close()
+		return result
+	}
+	r := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: u.Address, Path: "/health"}, Host: u.Address,
+		Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}
+	resp, outcome, err := conn.Exchange(ctx, r.WithContext(ctx))
+	result.Bytes = int(outcome.BytesWritten)
+	if err != nil {
+		return result
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHealth+1))
+	result.Bytes += headerSize(resp) + len(body)
+	var h health
+	if err != nil || len(body) > maxHealth || resp.StatusCode != http.StatusOK || json.Unmarshal(body, &h) != nil {
+		return result
+	}
+	result.OK = true
+	result.Report = admission.Report{
+		BootID: h.BootID, HasLoad: true, InFlight: h.InFlight, Slots: h.Slots, HasCold: true, Cold: h.Cold,
+	}
+	return result
+}
+
+// headerSize is the size of a response header on the wire, in bytes.
+func headerSize(resp *http.Response) int {
+	const statusLine, separators = len("HTTP/1.1 200 ") + len("\r\n\r\n"), len(": \r\n")
+	n := statusLine + len(http.StatusText(resp.StatusCode))
+	for name, values := range resp.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/gateway/recover.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// errCallerGone ends a request whose caller no longer waits for an answer.
+var errCallerGone = errors.New("the caller went away")
+
+// recovered answers errors of the inner handlers and turns a panic into an aborted connection.
+func (g *Gateway) recovered(next handler) handler {
+	return func(c *call) error {
+		defer func() {
+			if c.cancel != nil {
+				c.cancel()
+			}
+			g.buffered.Add(-c.buffered)
+			g.metrics.finished(c)
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v != http.ErrAbortHandler {
+				g.log.Error("panic while serving a request", zap.Any("panic", v), zap.Stack("stack"))
+			}
+			// The answer may be incomplete, so the connection must not look like one that delivered it.
+			panic(http.ErrAbortHandler)
+		}()
+		err := next(c)
+		if err != nil {
+			g.answerError(c, err)
+		}
+		return nil
+	}
+}
+
+// errorBody is the JSON body of an answer that the gateway itself generates.
+type errorBody struct {
+	Code    resultcode.Code `json:"code"`
+	Name    string          `json:"name"`
+	NotRun  bool            `json:"not_run"`
+	Message string          `json:"message"`
+}
+
+func (g *Gateway) answerError(c *call, err error) {
+	if errors.Is(err, errCallerGone) {
+		return
+	}
+	var coded *resultcode.Error
+	if !errors.As(err, &coded) {
+		coded = resultcode.Errorf(resultcode.OutcomeUnknown, "%v", err)
+	}
+	info, _ := coded.Code.Info()
+	if info.NotRun && c.failure != nil {
+		// A later try was refused, but an earlier one may have run.
+		coded = c.failure
+		info, _ = coded.Code.Info()
+	}
+	c.code = coded.Code
+	body, _ := json.Marshal(errorBody{Code: coded.Code, Name: info.Name, NotRun: info.NotRun, Message: coded.Message})
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(headerCode, strconv.Itoa(int(coded.Code)))
+	c.w.WriteHeader(info.HTTPStatus)
+	_, _ = c.w.Write(body) // A caller that is gone needs no answer.
+}
--- /dev/null
+++ b/internal/gateway/requestid.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// maxIDLength bounds request ids and idempotency keys, in bytes.
+const maxIDLength = 128
+
+// identified takes the caller's request id or makes one, and returns it with the answer.
+func (g *Gateway) identified(next handler) handler {
+	return func(c *call) error {
+		c.requestID = c.r.Header.Get(headerRequestID)
+		if c.requestID == "" {
+			c.requestID = strconv.FormatUint(g.ids.Add(1), 16)
+		}
+		if !validID(c.requestID) {
+			return resultcode.Errorf(resultcode.MalformedRequest, "%s must be at most %d printable ASCII characters", headerRequestID, maxIDLength)
+		}
+		c.forwarded = c.r.Header.Get(headerHop) != ""
+		c.w.Header().Set(headerRequestID, c.requestID)
+		return next(c)
+	}
+}
+
+// tryID returns the id that one try sends to the upstream. It is unique even where a caller uses an id twice, so that a
+// late response to another request never matches.
+func (g *Gateway) tryID(c *call) string {
+	return c.requestID + "-" + strconv.FormatUint(g.ids.Add(1), 16)
+}
+
+func validID(id string) bool {
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return id != "" && len(id) <= maxIDLength
+}
--- /dev/null
+++ b/internal/gateway/resolve.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// resolved finds the service, class, tenant and deadline of a request.
+func (g *Gateway) resolved(next handler) handler {
+	return func(c *call) error {
+		snap := g.snapshot.Load()
+		name, _, _ := strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
+		c.service = snap.services[name]
+		if c.service == nil {
+			return resultcode.Errorf(resultcode.UnknownService, "no service %q", name)
+		}
+		c.class = c.service.config.Class(c.r.Method, c.r.URL.Path)
+		if c.class == nil {
+			return resultcode.Errorf(resultcode.UnknownClass, "no class of service %s matches %s %s", name, c.r.Method, c.r.URL.Path)
+		}
+		c.tenant = c.r.Header.Get(headerTenant)
+		if c.tenant != "" && !snap.view.Config.HasTenant(c.tenant) {
+			return resultcode.Errorf(resultcode.UnknownTenant, "no tenant %q", c.tenant)
+		}
+		if err := c.setDeadline(); err != nil {
+			return err
+		}
+		return next(c)
+	}
+}
+
+// setDeadline takes the caller's remaining time, but no more than the class's timeout: a planned stop relies on no request
+// running longer than the longest timeout of its classes.
+func (c *call) setDeadline() error {
+	timeout := time.Duration(c.class.TimeoutMillis) * time.Millisecond
+	if text := c.r.Header.Get(headerTimeout); text != "" {
+		millis, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return resultcode.Errorf(resultcode.MalformedRequest, "%s must be a number of milliseconds", headerTimeout)
+		}
+		if millis <= 0 {
+			return resultcode.Errorf(resultcode.DeadlineBeforeStart, "the deadline had passed on arrival")
+		}
+		timeout = min(timeout, time.Duration(millis)*time.Millisecond)
+	}
+	c.deadline = c.start.Add(timeout)
+	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), c.deadline)
+	return nil
+}
+
+// callerGone tells whether the caller went away, as opposed to the deadline passing.
+func (c *call) callerGone() bool {
+	return c.r.Context().Err() != nil && time.Now().Before(c.deadline)
+}
+
+// remainingMillis is the time to the deadline in ms, at least 1.
+func (c *call) remainingMillis() string {
+	return strconv.FormatInt(max(1, time.Until(c.deadline).Milliseconds()), 10)
+}
--- /dev/null
+++ b/internal/gateway/respond.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleypick/bramleypick/admission"
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// copyBuffer is the memory of one streamed response, in bytes.
+const copyBuffer = 32 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
+
+// replay is a recorded answer.
+type replay struct{ answer *controlstate.Answer }
+
+// respond gives the response of a try to the caller.
+func (g *Gateway) respond(c *call, a *attempt) error {
+	defer a.discard()
+	if a.replay != nil {
+		return c.writeReplay(a.replay.answer)
+	}
+	if a.claimID != 0 {
+		if err := g.record(c, a); err != nil {
+			return err
+		}
+	}
+	if a.complete {
+		return c.writeWhole(a)
+	}
+	return g.stream(c, a)
+}
+
+// copyHeader copies a response header without what concerns the connection or the gateway alone.
+func copyHeader(c *call, from http.Header) {
+	removeHopHeaders(from)
+	to := c.w.Header()
+	for name, values := range from {
+		if !strings.HasPrefix(name, "Bramleypick-") {
+			to[name] = values
+		}
+	}
+}
+
+func (c *call) writeReplay(answer *controlstate.Answer) error {
+	copyHeader(c, answer.Header)
+	c.w.Header().Set(headerReplayed, "1")
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	c.w.WriteHeader(answer.Status)
+	_, _ = c.w.Write(answer.Body) // A caller that is gone will ask again.
+	return nil
+}
+
+func (c *call) writeWhole(a *attempt) error {
+	copyHeader(c, a.resp.Header)
+	if hasBody(c.r.Method, a.resp.StatusCode) {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.small)))
+	}
+	c.w.WriteHeader(a.resp.StatusCode)
+	if len(a.small) > 0 {
+		_, _ = c.w.Write(a.small) // The upstream has done its work; a caller that is gone changes nothing.
+	}
+	return nil
+}
+
+// record stores the response of a claimed request before the caller sees any of it.
+func (g *Gateway) record(c *call, a *attempt) error {
+	if !a.complete {
+		if err := a.readMore(); err != nil {
+			g.finish(c, a, nil)
+			return err
+		}
+	}
+	answer := &controlstate.Answer{Status: a.resp.StatusCode}
+	if a.complete {
+		answer.Body = a.small
+		answer.Header = make(map[string][]string, len(a.resp.Header))
+		removeHopHeaders(a.resp.Header)
+		for name, values := range a.resp.Header {
+			if !strings.HasPrefix(name, "Bramleypick-") {
+				answer.Header[name] = values
+			}
+		}
+	} else {
+		answer.TooLarge = true
+	}
+	g.finish(c, a, answer)
+	return nil
+}
+
+// readMore reads a body of unknown or large size up to the limit of what is recorded.
+func (a *attempt) readMore() error {
+	if a.resp.ContentLength > maxSmall {
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxSmall+1))
+	if err != nil {
+		return a.brokenBody(err)
+	}
+	a.small = body
+	if len(body) <= maxSmall {
+		finishBody(a.resp.Body)
+		a.complete = true
+		a.end(a.verdict())
+	}
+	return nil
+}
+
+// brokenBody ends a try whose body broke off before the caller saw any of the response.
+func (a *attempt) brokenBody(err error) error {
+	if a.ctx.Err() == nil {
+		a.cut = isCut(err)
+		a.err = resultcode.Errorf(resultcode.BrokenResponse, "the response body broke off")
+		a.end(admission.Failed)
+	} else {
+		a.interrupted(err)
+	}
+	return a.err
+}
+
+// stream copies a long response with bounded memory. A response that breaks off after its first part aborts the
+// connection to the caller, so that it cannot be taken for complete.
+func (g *Gateway) stream(c *call, a *attempt) error {
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	body := io.MultiReader(bytes.NewReader(a.small), a.resp.Body)
+	n, err := body.Read(*buffer)
+	if err != nil && err != io.EOF {
+		return a.brokenBody(err)
+	}
+	copyHeader(c, a.resp.Header)
+	if length := a.resp.ContentLength; length >= 0 {
+		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetWriteDeadline(c.deadline)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	c.w.WriteHeader(a.resp.StatusCode)
+	total := int64(0)
+	for {
+		total += int64(n)
+		if n > 0 {
+			if _, werr := c.w.Write((*buffer)[:n]); werr != nil {
+				a.end(admission.Neutral)
+				panic(http.ErrAbortHandler)
+			}
+			if a.resp.ContentLength < 0 {
+				_ = control.Flush()
+			}
+		}
+		if err != nil {
+			break
+		}
+		n, err = body.Read(*buffer)
+	}
+	if err != io.EOF || (a.resp.ContentLength >= 0 && total != a.resp.ContentLength) {
+		g.metrics.count(c.service.config.Name, "aborted_responses")
+		_ = a.brokenBody(err)
+		panic(http.ErrAbortHandler)
+	}
+	a.complete = true
+	_ = a.resp.Body.Close()
+	a.end(a.verdict())
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bramleypick/bramleypick/admission"
+	"github.com/bramleypick/bramleypick/crashguard"
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/retrybudget"
+)
+
+// service runs the scheduler of one service on a goroutine of its own.
+type service struct {
+	name    string
+	g       *Gateway
+	events  chan event
+	stop    chan struct{}
+	stopped sync.Once
+	retries *retrybudget.Budget
+	guard   *crashguard.Guard
+
+	// The rest belongs to the goroutine.
+	scheduler *admission.Scheduler
+	peers     map[uint64]peerLoad
+	// peerOwners are the other sessions that own upstreams which may get work.
+	peerOwners map[uint64]bool
+	draining   []draining
+}
+
+// batch bounds the events handled between two polls.
+const batch = 64
+
+func newService(g *Gateway, name string, sv *serviceView) *service {
+	s := &service{
+		name: name, g: g, events: make(chan event, g.cfg.EventQueue), stop: make(chan struct{}),
+		retries: retrybudget.New(sv.config.RetryPercent, time.Now()), guard: crashguard.New(),
+		scheduler: admission.New(schedulerConfig(g, sv)), peers: make(map[uint64]peerLoad),
+	}
+	go s.run()
+	return s
+}
+
+func (s *service) close() {
+	s.stopped.Do(func() { close(s.stop) })
+}
+
+// send queues an event that must not be lost. It returns false once the service has stopped.
+func (s *service) send(e event) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-s.stop:
+		return false
+	}
+}
+
+func (s *service) run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-timer.C:
+		case e := <-s.events:
+			s.handle(e)
+			s.handleMore()
+		}
+		s.poll(timer)
+	}
+}
+
+func (s *service) handleMore() {
+	for range batch {
+		select {
+		case e := <-s.events:
+			s.handle(e)
+		default:
+			return
+		}
+	}
+}
+
+func (s *service) handle(e event) {
+	now := time.Now()
+	switch e.kind {
+	case eventEnqueue:
+		s.enqueue(e.wait, now)
+	case eventCancel:
+		if s.scheduler.Cancel(&e.wait.request) {
+			e.wait.grant <- grant{cancelled: true}
+		}
+	case eventResponded:
+		s.scheduler.Responded(e.assignment, e.outcome.Latency, e.outcome.Report, now)
+	case eventDone:
+		s.scheduler.Done(e.assignment, e.outcome, now)
+	case eventProbeDone:
+		s.scheduler.ProbeDone(e.probe, e.probeResult, now)
+	case eventView:
+		s.apply(e.update, now)
+	case eventPeerLoad:
+		s.setPeerLoad(e.session, e.free, now)
+	case eventStatus:
+		e.status <- s.status(now)
+	}
+}
+
+func (s *service) enqueue(w *waiter, now time.Time) {
+	if w.mayForward {
+		if peer := s.forwardTarget(now); peer != 0 {
+			w.grant <- grant{forwardTo: peer}
+			return
+		}
+	}
+	s.scheduler.Enqueue(&w.request, now)
+}
+
+func (s *service) poll(timer *time.Timer) {
+	now := time.Now()
+	actions := s.scheduler.Poll(now)
+	for _, d := range actions.Dispatches {
+		d.Request.Value.(*waiter).grant <- grant{assignment: d.Assignment, assigned: true}
+	}
+	for _, r := range actions.Rejections {
+		r.Request.Value.(*waiter).grant <- grant{reason: r.Reason}
+	}
+	for _, p := range actions.Probes {
+		s.probe(p)
+	}
+	s.g.metrics.queue(s.name, s.scheduler.Queued())
+	s.notifyDrained()
+	if actions.Wake.IsZero() {
+		timer.Reset(time.Hour)
+	} else {
+		timer.Reset(max(0, actions.Wake.Sub(now)))
+	}
+}
+
+// acquire waits for an assignment. A grant without one carries a peer to forward to.
+func (s *service) acquire(ctx context.Context, w *waiter) (grant, *resultcode.Error) {
+	select {
+	case s.events <- event{kind: eventEnqueue, wait: w}:
+	case <-s.stop:
+		return grant{}, resultcode.Errorf(resultcode.ShuttingDown, "the gateway has stopped")
+	default:
+		return grant{}, resultcode.Errorf(resultcode.QueueFull, "the scheduler has too many events waiting")
+	}
+	select {
+	case got := <-w.grant:
+		return s.checked(got)
+	case <-ctx.Done():
+	}
+	if !s.send(event{kind: eventCancel, wait: w}) {
+		return grant{}, resultcode.Errorf(resultcode.ShuttingDown, "the gateway has stopped")
+	}
+	got := <-w.grant
+	if got.assigned {
+		s.done(got.assignment, admission.Outcome{Result: admission.NotSent})
+	}
+	return grant{}, resultcode.Errorf(resultcode.DeadlineBeforeStart, "the request ended while it was queued")
+}
+
+func (s *service) checked(got grant) (grant, *resultcode.Error) {
+	switch got.reason {
+	case 0:
+		return got, nil
+	case admission.ReasonQueueFull:
+		return got, resultcode.Errorf(resultcode.QueueFull, "the queue of service %s is full", s.name)
+	case admission.ReasonDisplaced:
+		return got, resultcode.Errorf(resultcode.ShedByPriority, "a request of a higher priority took the place in the queue")
+	case admission.ReasonTenantLimit:
+		return got, resultcode.Errorf(resultcode.TenantLimit, "the tenant has too many requests waiting")
+	case admission.ReasonDeadline:
+		return got, resultcode.Errorf(resultcode.DeadlineBeforeStart, "the deadline passed while the request was queued")
+	default:
+		return got, resultcode.Errorf(resultcode.NoUpstream, "no upstream of service %s can take the request", s.name)
+	}
+}
+
+func (s *service) done(a admission.Assignment, o admission.Outcome) {
+	s.send(event{kind: eventDone, assignment: a, outcome: o})
+}
+
+func schedulerConfig(g *Gateway, sv *serviceView) admission.Config {
+	c := admission.Config{
+		QueueLimit: sv.config.QueueLimit, OverAllowance: sv.config.OverAllowance, ColdSlots: sv.config.ColdSlots,
+		ProbesPerSecond: sv.config.ProbesPerSecond, ProbeBytesPerSecond: sv.config.ProbeBytesPerSecond,
+		Weights: make(map[string]int, len(sv.tenants)), Rand: g.deps.Rand,
+	}
+	switch sv.config.Policy {
+	case dynconfig.PolicyRandom:
+		c.Policy = admission.PolicyRandom
+	case dynconfig.PolicyTwoChoices:
+		c.Policy = admission.PolicyTwoChoices
+	}
+	if len(sv.tenants) > 1 {
+		// One tenant must not fill the queue alone; the configuration has no field for the share.
+		c.TenantLimit = max(1, sv.config.QueueLimit/2)
+	}
+	for _, t := range sv.tenants {
+		c.Weights[t.Name] = max(t.Weight, dynconfig.DefaultTenantWeight)
+	}
+	return c
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,5 +1,10 @@
 package gateway
 
+import (
+	"slices"
+	"strings"
+)
+
 // Status is what the gateway holds now, for stops and hand-over.
 type Status struct {
 	// ViewIndex and ConfigVersion are those of the view in force here.
@@ -33,3 +38,32 @@
 	// Ejected is true while the upstream is left out because of its failures.
 	Ejected bool
 }
+
+// Status returns what the gateway holds now.
+func (g *Gateway) Status() Status {
+	view := g.snapshot.Load().view
+	status := Status{ViewIndex: view.Index, ConfigVersion: view.ConfigVersion}
+	g.mu.Lock()
+	status.Requests = g.requests
+	g.mu.Unlock()
+	g.viewMu.Lock()
+	services := make([]*service, 0, len(g.services))
+	for _, s := range g.services {
+		services = append(services, s)
+	}
+	g.viewMu.Unlock()
+	slices.SortFunc(services, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+	for _, s := range services {
+		answer := make(chan ServiceStatus, 1)
+		if !s.send(event{kind: eventStatus, status: answer}) {
+			continue
+		}
+		select {
+		case one := <-answer:
+			slices.SortFunc(one.Upstreams, func(a, b UpstreamStatus) int { return strings.Compare(a.ID, b.ID) })
+			status.Services = append(status.Services, one)
+		case <-s.stop:
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/internal/gateway/upstreamrequest.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/bramleypick/bramleypick/admission"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// newRequest returns the request to send to the upstream.
+func (a *attempt) newRequest() *http.Request {
+	r := a.c.outgoing()
+	r.URL.Host = a.upstream.Address
+	r.Header.Set(headerRequestID, a.id)
+	return r.WithContext(a.ctx)
+}
+
+// outgoing returns a copy of the caller's request for an upstream or a peer.
+func (c *call) outgoing() *http.Request {
+	header := c.r.Header.Clone()
+	removeHopHeaders(header)
+	header.Del(headerHop)
+	header.Del("Expect")
+	header.Set(headerTimeout, c.remainingMillis())
+	r := &http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{
+			Scheme: "http", Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery,
+		},
+		Body: http.NoBody,
+	}
+	if len(c.body) > 0 {
+		body := c.body
+		r.ContentLength = int64(len(body))
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	}
+	return r
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, listed := range h["Connection"] {
+		for name := range strings.SplitSeq(listed, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// parseReport reads what an upstream says about itself in a response. A malformed load counts as none.
+func parseReport(h http.Header) admission.Report {
+	report := admission.Report{BootID: h.Get(headerBootID)}
+	inFlight, slots, ok := strings.Cut(h.Get(headerLoad), "/")
+	if !ok {
+		return report
+	}
+	n, err := strconv.Atoi(inFlight)
+	m, err2 := strconv.Atoi(slots)
+	if err == nil && err2 == nil && n >= 0 && m > 0 {
+		report.HasLoad, report.InFlight, report.Slots = true, n, m
+	}
+	return report
+}
