--- /dev/null
+++ b/admission/probe_test.go
@@ -0,0 +1,129 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against probes, summed over all owners of an upstream in turn, exceeding its budget by more than one burst.
+func TestInvariantMeasurementBudget(t *testing.T) {
+	rows := []struct {
+		description string
+		perSecond   float64
+		bytes       int // Of each probe.
+		byteRate    int
+		handOvers   bool // The owner changes every 700 ms.
+	}{
+		{"small probes", 1, 300, 1024, false},
+		{"probes larger than their reserve", 1, 4096, 1024, false},
+		{"bytes are the narrower bound", 10, 512, 256, false},
+		{"a slow rate", 0.2, 300, 1024, false},
+		{"many changes of owner", 1, 300, 1024, true},
+		{"many changes of owner at a high rate", 5, 300, 4096, true},
+	}
+	const period, step, life = 60 * time.Second, 10 * time.Millisecond, 700 * time.Millisecond
+	for _, row := range rows {
+		t.Run(row.description, func(t *testing.T) {
+			is := is.New(t)
+			cfg := testConfig()
+			cfg.ProbesPerSecond, cfg.ProbeBytesPerSecond = row.perSecond, row.byteRate
+			u := owned("u")
+			gateways := []*bench{newBench(t, cfg, u), newBench(t, cfg)}
+			owner, probes := 0, 0
+			for at := time.Duration(0); at < period; at += step {
+				if row.handOvers && at > 0 && at%life == 0 {
+					u.Epoch++
+					u.OwnerLost = u.Epoch%2 == 0
+					lost := u
+					lost.Owned = false
+					gateways[owner].set(lost)
+					owner = 1 - owner
+					gateways[owner].set(u)
+				}
+				for _, g := range gateways {
+					g.wait(step)
+					for _, p := range g.probes {
+						probes++
+						g.s.ProbeDone(p, ProbeResult{OK: false, Bytes: row.bytes}, g.now)
+					}
+					g.probes = nil
+				}
+			}
+			seconds := period.Seconds()
+			is.True(float64(probes) <= seconds*row.perSecond+1) // One burst beyond the rate.
+			burst := max(row.byteRate, MaxProbeBytes) + row.bytes
+			is.True(float64(probes*row.bytes) <= seconds*float64(row.byteRate)+float64(burst))
+			if !row.handOvers {
+				is.True(probes > 0)
+			}
+		})
+	}
+}
+
+// Guards against probes of an upstream whose responses carry its load, and of one that gets nothing new.
+func TestNoNeedlessProbes(t *testing.T) {
+	rows := []struct {
+		description string
+		change      func(*Upstream)
+		load        bool
+		probed      bool
+	}{
+		{"idle", func(*Upstream) {}, false, true},
+		{"responses carry load", func(*Upstream) {}, true, false},
+		{"stopping", func(u *Upstream) { u.Stopping = true }, false, false},
+		{"moving", func(u *Upstream) { u.Moving = true }, false, false},
+		{"not owned", func(u *Upstream) { u.Owned = false }, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.description, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, testConfig(), owned("u"))
+			b.answerProbes(Report{HasLoad: true, Slots: 3})
+			b.enqueue(Request{Class: "c"})
+			u := owned("u")
+			row.change(&u)
+			b.set(u)
+			for range 50 {
+				b.wait(100 * time.Millisecond)
+				if row.load {
+					b.end("u", Outcome{Result: Succeeded, Report: Report{HasLoad: true, InFlight: 1, Slots: 3}})
+					b.enqueue(Request{Class: "c"})
+				}
+			}
+			is.Equal(len(b.probes) > 0, row.probed)
+		})
+	}
+}
+
+// Guards against a successor that never gets back all slots of a lost owner, because under steady traffic every load
+// report counts its own requests too.
+func TestForeignRequestsEndUnderSteadyTraffic(t *testing.T) {
+	is := is.New(t)
+	u := owned("u")
+	b := newBench(t, testConfig(), u)
+	b.work("u", fullWarm)
+	lost := u
+	lost.Owned = false
+	b.set(lost)
+	for b.end("u", Outcome{Result: Succeeded}) {
+	}
+	u.Epoch, u.OwnerLost = 3, true
+	b.set(u)
+	for i := range 4000 {
+		b.fill(max(0, 10-b.s.Queued()))
+		inFlight := len(b.running["u"])
+		if i < 1500 {
+			inFlight++ // One request of the lost owner runs for 1.5 s more.
+		}
+		is.True(inFlight <= 3) // Never more than the slots in total.
+		b.answerProbes(Report{BootID: "boot-1", HasLoad: true, InFlight: inFlight, Slots: 3, HasCold: true})
+		b.wait(time.Millisecond)
+		if i%4 == 0 {
+			b.end("u", Outcome{Result: Succeeded, Latency: 4 * time.Millisecond,
+				Report: Report{HasLoad: true, InFlight: max(1, inFlight), Slots: 3}})
+		}
+	}
+	is.Equal(len(b.running["u"]), 3)
+}
