Add the test upstream

One process hosts many upstreams on consecutive ports, to keep the number of processes low, and counts the executions of each request id and key over all of them and across their crashes.

--- /dev/null
+++ b/internal/standin/admin.go
@@ -0,0 +1,121 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+const maxAdminBody = 64 << 10
+
+// Report is the state of one upstream.
+type Report struct {
+	ID           string         `json:"id"`
+	Service      string         `json:"service"`
+	Address      string         `json:"address"`
+	BootID       string         `json:"boot_id"`
+	Up           bool           `json:"up"`
+	Inflight     int            `json:"inflight"`
+	Cold         bool           `json:"cold"`
+	Work         workCounts     `json:"work"`
+	Announcement announceCounts `json:"announcement"`
+	Behaviour    Behaviour      `json:"behaviour"`
+}
+
+// ProcessReport is the response of GET /report.
+type ProcessReport struct {
+	Upstreams []Report `json:"upstreams"`
+	// Doubled holds every request id and key that was executed more than once.
+	Doubled Executions `json:"doubled"`
+}
+
+// Report returns the upstream's state, and starts its counters anew if reset is set.
+func (u *Upstream) Report(reset bool) Report {
+	inflight, _, cold := u.work.load()
+	u.mu.Lock()
+	bootID, address, up := u.bootID, u.address, u.server != nil
+	u.mu.Unlock()
+	return Report{ID: u.cfg.ID, Service: u.cfg.Service, Address: address, BootID: bootID, Up: up, Inflight: inflight,
+		Cold: cold, Work: u.work.takeCounts(reset), Announcement: u.announce.report(), Behaviour: u.work.get()}
+}
+
+// Admin returns the handler of the admin port:
+//
+//	GET /report?reset=true            all upstreams and the doubled requests; reset also clears the ledger
+//	GET /executions?least=1           executions by request id and key
+//	PATCH /upstreams/{id}/behaviour   JSON object of the Behaviour fields to set
+//	POST /upstreams/{id}/cold?new_boot_id=true
+//	POST /upstreams/{id}/freeze
+//	POST /upstreams/{id}/crash
+//
+// The id "all" stands for every upstream of the process.
+func Admin(upstreams []*Upstream, ledger *Ledger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", func(rw http.ResponseWriter, r *http.Request) {
+		reset := r.FormValue("reset") == "true"
+		report := ProcessReport{Doubled: ledger.Executions(2)}
+		for _, u := range upstreams {
+			report.Upstreams = append(report.Upstreams, u.Report(reset))
+		}
+		if reset {
+			ledger.reset()
+		}
+		writeJSON(rw, report)
+	})
+	mux.HandleFunc("GET /executions", func(rw http.ResponseWriter, r *http.Request) {
+		least, _ := strconv.Atoi(r.FormValue("least"))
+		writeJSON(rw, ledger.Executions(least))
+	})
+	each := func(pattern string, f func(*Upstream, *http.Request, []byte) error) {
+		mux.HandleFunc(pattern, func(rw http.ResponseWriter, r *http.Request) {
+			forEach(rw, r, upstreams, f)
+		})
+	}
+	each("PATCH /upstreams/{id}/behaviour", func(u *Upstream, _ *http.Request, body []byte) error {
+		return u.SetBehaviour(body)
+	})
+	each("POST /upstreams/{id}/cold", func(u *Upstream, r *http.Request, _ []byte) error {
+		u.BecomeCold(r.FormValue("new_boot_id") == "true")
+		return nil
+	})
+	each("POST /upstreams/{id}/freeze", func(u *Upstream, _ *http.Request, _ []byte) error {
+		u.Freeze()
+		return nil
+	})
+	each("POST /upstreams/{id}/crash", func(u *Upstream, _ *http.Request, _ []byte) error {
+		u.Crash()
+		return nil
+	})
+	return mux
+}
+
+func forEach(rw http.ResponseWriter, r *http.Request, upstreams []*Upstream,
+	f func(*Upstream, *http.Request, []byte) error) {
+	body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxAdminBody))
+	if err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	found := false
+	for _, u := range upstreams {
+		if id := r.PathValue("id"); id != "all" && id != u.cfg.ID {
+			continue
+		}
+		found = true
+		if err := f(u, r, body); err != nil {
+			http.Error(rw, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	if !found {
+		http.Error(rw, "no such upstream", http.StatusNotFound)
+		return
+	}
+	rw.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(rw http.ResponseWriter, v any) {
+	rw.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(rw).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/handler.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// CrashMarker crashes the upstream that executes a request whose path or query contains it. It travels through any gateway.
+const CrashMarker = "crash-upstream"
+
+// Health is the response of GET /health.
+type Health struct {
+	BootID   string `json:"boot_id"`
+	Slots    int    `json:"slots"`
+	Inflight int    `json:"inflight"`
+	Cold     bool   `json:"cold"`
+}
+
+// ServeHTTP serves the health endpoint and simulated work on every other path.
+func (u *Upstream) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	state, _ := r.Context().Value(connKey{}).(*connState)
+	if state == nil { // called by a test without a connection
+		state = &connState{frozen: make(chan struct{})}
+	}
+	// The server notices that the client closed the connection only once the body is read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // the request is incomplete
+	}
+	delay := millis(u.work.get().OneWayDelayMS)
+	if sleep(r.Context(), nil, delay) != completed || state.blocked(r.Context()) {
+		return
+	}
+	if r.URL.Path == "/health" {
+		u.serveHealth(rw, r, state)
+		return
+	}
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	v := u.work.run(ctx, func() {
+		u.ledger.add(r.Header.Get("Bramleypick-Request-Id"), r.Header.Get("Idempotency-Key"))
+		if strings.Contains(r.URL.RequestURI(), CrashMarker) {
+			u.Crash()
+		}
+	})
+	if r.Context().Err() != nil {
+		return
+	}
+	b := u.work.get()
+	late := time.Duration(0)
+	if b.LatePercent == 0 || u.work.chanceOf(b.LatePercent) {
+		late = millis(b.LateMS)
+	}
+	if sleep(r.Context(), nil, late+delay) != completed || state.blocked(r.Context()) {
+		return
+	}
+	u.respond(rw, r, v, b)
+}
+
+// blocked returns only when the connection is closed if it no longer answers.
+func (s *connState) blocked(ctx context.Context) bool {
+	select {
+	case <-s.frozen:
+		<-ctx.Done()
+		return true
+	default:
+		return false
+	}
+}
+
+// withDeadline applies the remaining deadline that the request carries.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get("Bramleypick-Timeout-Ms"), 10, 64)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+func (u *Upstream) serveHealth(rw http.ResponseWriter, r *http.Request, state *connState) {
+	u.work.count(func(c *workCounts) { c.HealthRequests++ })
+	b := u.work.get()
+	if sleep(r.Context(), nil, millis(b.HealthDelayMS+b.OneWayDelayMS)) != completed || state.blocked(r.Context()) {
+		return
+	}
+	health := u.health()
+	rw.Header().Set("Content-Type", "application/json")
+	if b.HealthStatus != 0 {
+		rw.WriteHeader(b.HealthStatus)
+	}
+	json.NewEncoder(rw).Encode(health)
+}
+
+// health returns the reported state, which is a lie if the behaviour says so.
+func (u *Upstream) health() Health {
+	inflight, slots, cold := u.work.load()
+	b := u.work.get()
+	if b.LieLoad != "" {
+		fmt.Sscanf(b.LieLoad, "%d/%d", &inflight, &slots)
+	}
+	return Health{BootID: u.boot(), Slots: slots, Inflight: inflight, Cold: cold && !b.ColdHidden}
+}
--- /dev/null
+++ b/internal/standin/speed.go
@@ -0,0 +1,108 @@
+package standin
+
+import "time"
+
+// cold reports whether the upstream is in cold start.
+func (w *work) cold() bool {
+	return w.behaviour.ColdWork > 0 && w.warmth < w.behaviour.ColdWork
+}
+
+// limit returns how many requests execute at once. It rises from the cold slots to all slots with completed work.
+func (w *work) limit() int {
+	b := w.behaviour
+	if !w.cold() || b.ColdSlots <= 0 || b.ColdSlots >= w.slots {
+		return w.slots
+	}
+	return b.ColdSlots + (w.slots-b.ColdSlots)*w.warmth/b.ColdWork
+}
+
+// duration draws the service time of a request that starts now.
+func (w *work) duration(now time.Time) time.Duration {
+	b := w.behaviour
+	ms := b.ServiceMS
+	if b.Exponential {
+		ms *= w.random.ExpFloat64()
+	}
+	if w.cold() && b.ColdFactor > 1 {
+		rest := 1 - float64(w.warmth)/float64(b.ColdWork)
+		ms *= 1 + (b.ColdFactor-1)*rest
+	}
+	if w.straggles(now) {
+		ms *= b.StraggleFactor
+	}
+	return millis(ms)
+}
+
+// straggles moves through the random periods up to now.
+func (w *work) straggles(now time.Time) bool {
+	b := w.behaviour
+	if b.StraggleFactor <= 0 || b.StraggleGapMS <= 0 || b.StraggleMS <= 0 {
+		w.straggling, w.toggle = false, time.Time{}
+		return b.StraggleFactor > 0
+	}
+	if w.toggle.IsZero() {
+		w.toggle = now.Add(millis(b.StraggleGapMS * w.random.ExpFloat64()))
+	}
+	for !now.Before(w.toggle) {
+		w.straggling = !w.straggling
+		mean := b.StraggleGapMS
+		if w.straggling {
+			mean = b.StraggleMS
+		}
+		w.toggle = w.toggle.Add(millis(mean*w.random.ExpFloat64()) + 1) // at least 1 ns, so that the loop ends
+	}
+	return w.straggling
+}
+
+// becomeCold starts a cold start.
+func (w *work) becomeCold() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.warmth = 0
+}
+
+func (w *work) set(b Behaviour) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.behaviour = b
+	w.fill()
+}
+
+func (w *work) get() Behaviour {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.behaviour
+}
+
+// load returns the true load.
+func (w *work) load() (inflight, slots int, cold bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.executing + len(w.waiting), w.slots, w.cold()
+}
+
+// chanceOf draws with the given percentage.
+func (w *work) chanceOf(percent float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.chance(percent)
+}
+
+// count changes the counters.
+func (w *work) count(f func(*workCounts)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(&w.counts)
+}
+
+// takeCounts returns the counters, and starts them anew if reset is set.
+func (w *work) takeCounts(reset bool) workCounts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := w.counts
+	if reset {
+		w.counts = workCounts{ConnectionsOpen: counts.ConnectionsOpen, MostConnections: counts.ConnectionsOpen}
+		w.note()
+	}
+	return counts
+}
