Add the connections to one upstream

The gateway must know whether any byte of a request was sent, because a request that may have run is not repeated. net/http's transport hides that and retries by itself, so the pool uses net.Conn with net/http's codec.

A connection is reused only after a complete response and with nothing left to read: a late answer would otherwise reach the next request. A body that only the end of the connection delimits is refused, because a broken connection looks the same.

After a reused connection stayed silent until the deadline, those idle since before are closed even if the cause is not known. A frozen network path leaves many such connections, and each would cost a request its deadline.

--- /dev/null
+++ b/internal/upstreamconn/exchange.go
@@ -0,0 +1,169 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	requestIDHeader = "Bramleypick-Request-Id"
+	// maxInterim bounds the 1xx responses before the final one, so that an upstream cannot hold a request with them.
+	maxInterim = 16
+)
+
+// exchange is one request and its response. It is also the response body.
+type exchange struct {
+	ctx       context.Context
+	transport *transport
+	request   *http.Request
+	reused    bool
+	sent      time.Time
+	stop      func() bool // of context.AfterFunc
+	sender    *sender
+	reader    *bufio.Reader
+	body
+}
+
+func (x *exchange) run() (*http.Response, error) {
+	t := x.transport
+	x.sent = time.Now()
+	x.stop = context.AfterFunc(x.ctx, t.close)
+	t.in.total, t.in.err = 0, nil
+	t.out.written, t.out.err = 0, nil
+	x.reader = readers.Get().(*bufio.Reader)
+	x.reader.Reset(&t.in)
+	x.sender = newSender(x.ctx, t, x.request)
+	if err := x.sender.start(); err != nil {
+		return nil, x.failure(err)
+	}
+	resp, err := x.readHeader()
+	if err != nil {
+		return nil, x.failure(err)
+	}
+	x.sender.refuseBody()
+	t.pool.noteAnswer(x.sent)
+	if err := x.checkHeader(resp); err != nil {
+		return nil, err
+	}
+	x.body.begin(resp)
+	resp.Body = x
+	return resp, nil
+}
+
+// readHeader reads the final header and passes over the interim ones.
+func (x *exchange) readHeader() (*http.Response, error) {
+	in := &x.transport.in
+	in.limit = int64(x.transport.pool.opts.MaxHeaderBytes)
+	defer func() { in.limit = -1 }()
+	for range maxInterim {
+		resp, err := http.ReadResponse(x.reader, x.request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols || resp.StatusCode < 100 {
+			return nil, errors.Errorf("unexpected status %d", resp.StatusCode)
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusContinue {
+			x.sender.sendBody()
+		}
+	}
+	return nil, errors.New("too many interim responses")
+}
+
+// checkHeader refuses a response to another request, and one whose end only the end of the connection would mark: a
+// connection that breaks would look the same.
+func (x *exchange) checkHeader(resp *http.Response) error {
+	want, got := x.request.Header.Get(requestIDHeader), resp.Header.Get(requestIDHeader)
+	if want != "" && got != "" && got != want {
+		return newError(ErrMismatched, errors.Errorf("request id %q, want %q", got, want))
+	}
+	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
+	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
+		return newError(ErrMalformed, errors.New("the response has neither a length nor chunks"))
+	}
+	return nil
+}
+
+// failure finds the kind of an error during the exchange.
+func (x *exchange) failure(err error) error {
+	in := &x.transport.in
+	if bodyErr := x.sender.bodyError(); bodyErr != nil && x.ctx.Err() == nil {
+		return newError(ErrRequest, bodyErr)
+	}
+	if ctxErr := x.ctx.Err(); ctxErr != nil {
+		silent := ctxErr == context.DeadlineExceeded && x.reused && in.total == 0 && x.sender.finished() &&
+			x.transport.pool.noteSilence(x.sent)
+		return contextError(ctxErr, silent)
+	}
+	if in.err != nil {
+		return newError(ErrCut, err)
+	}
+	return newError(ErrMalformed, err)
+}
+
+func contextError(err error, silent bool) error {
+	kind := ErrCanceled
+	if silent {
+		kind = ErrSilent
+	} else if err == context.DeadlineExceeded {
+		kind = ErrTimeout
+	}
+	return &exchangeError{kind: kind, cause: err, context: err}
+}
+
+// abandon closes the connection.
+func (x *exchange) abandon() {
+	x.stop()
+	x.transport.close()
+	x.sender.refuseBody()
+	x.dropReader()
+}
+
+func (x *exchange) dropReader() {
+	if x.reader != nil {
+		x.reader.Reset(nil)
+		readers.Put(x.reader)
+		x.reader = nil
+	}
+}
+
+// Read implements io.Reader for the response body.
+func (x *exchange) Read(p []byte) (int, error) {
+	if x.body.err != nil {
+		return 0, x.body.err
+	}
+	n, err := x.body.read(p)
+	if err != nil && err != io.EOF {
+		x.body.err = x.failure(err)
+		err = x.body.err
+		x.transport.close()
+	}
+	return n, err
+}
+
+// Close implements io.Closer for the response body.
+func (x *exchange) Close() error {
+	if x.body.closed {
+		return nil
+	}
+	x.body.closed = true
+	reusable := x.body.complete && x.body.keep && x.sender.finished() && x.reader.Buffered() == 0
+	if !reusable || !x.stop() { // stop fails if the context has ended and the connection is being closed
+		x.abandon()
+	} else {
+		x.dropReader()
+		x.transport.pool.put(x.transport, true)
+	}
+	if x.body.err == nil || x.body.err == io.EOF {
+		x.body.err = errors.New("read after close of a response body")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstreamconn/invariant_test.go
@@ -0,0 +1,225 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"
+
+// upstream answers the first request on its first connection with a script, and every other request with fine.
+type upstream struct {
+	listener net.Listener
+	script   func(c net.Conn, r *http.Request) // nil r: the header could not be read
+	accepted atomic.Int32
+	body     chan string // of the first request
+}
+
+func startUpstream(t *testing.T, script func(*upstream, net.Conn, *http.Request)) *upstream {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	u := &upstream{listener: listener, body: make(chan string, 1)}
+	u.script = func(c net.Conn, r *http.Request) { script(u, c, r) }
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go u.serve(c, u.accepted.Add(1) == 1)
+		}
+	}()
+	t.Cleanup(func() { listener.Close() })
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, scripted bool) {
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if scripted {
+			scripted = false
+			u.script(c, r)
+			continue
+		}
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, fine)
+	}
+}
+
+// answer returns a script that reads the request's body, writes text, and then closes the connection or not.
+func answer(text string, end bool) func(*upstream, net.Conn, *http.Request) {
+	return func(u *upstream, c net.Conn, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		u.body <- string(data)
+		io.WriteString(c, text)
+		if end {
+			c.Close()
+		}
+	}
+}
+
+// answerFirst returns a script that writes text before it reads anything of the request's body.
+func answerFirst(text string) func(*upstream, net.Conn, *http.Request) {
+	return func(u *upstream, c net.Conn, r *http.Request) {
+		io.WriteString(c, text)
+		data, _ := io.ReadAll(r.Body)
+		u.body <- string(data)
+	}
+}
+
+// awaitArrival waits until an idle connection has something to read, and takes nothing.
+func awaitArrival(p *Pool) {
+	p.mu.Lock()
+	raw := p.idle[0].raw
+	p.mu.Unlock()
+	raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
+		return err != syscall.EAGAIN
+	})
+}
+
+// endless is a request body that never ends by itself.
+type endless struct{ closed atomic.Bool }
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.closed.Load() {
+		return 0, io.ErrClosedPipe
+	}
+	return len(p), nil
+}
+
+func (e *endless) Close() error { e.closed.Store(true); return nil }
+
+// Guards against a response that is incomplete or belongs to another request, and against a connection whose state is in
+// doubt being used again: in every row the second exchange must get its own response.
+func TestInvariantResponseIntegrityConnections(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+	stray := make(chan struct{})
+	for _, test := range []struct {
+		description string
+		script      func(*upstream, net.Conn, *http.Request)
+		change      func(*http.Request) // of a POST with the body "question"
+		err         error
+		body        string
+		reused      bool
+		before      func(*Pool) // before the second exchange
+	}{
+		{"complete body", answer(ok+"first", false), nil, nil, "first", true, nil},
+		{"chunked body", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfir\r\n2\r\nst\r\n0\r\n\r\n", false), nil,
+			nil, "first", true, nil},
+		{"no content", answer("HTTP/1.1 204 No Content\r\n\r\n", false), nil, nil, "", true, nil},
+		{"not modified, with a length", answer("HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", false), nil, nil, "", true, nil},
+		{"HEAD, with a length", answer(ok, false), func(r *http.Request) { r.Method, r.Body, r.ContentLength = "HEAD", nil, 0 },
+			nil, "", true, nil},
+		{"interim responses", answer("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"+ok+"first", false), nil,
+			nil, "first", true, nil},
+		{"right echo", answer("HTTP/1.1 200 OK\r\nBramleypick-Request-Id: r1\r\nContent-Length: 5\r\n\r\nfirst", false), nil,
+			nil, "first", true, nil},
+		{"wrong echo", answer("HTTP/1.1 200 OK\r\nBramleypick-Request-Id: r0\r\nContent-Length: 5\r\n\r\nfirst", false), nil,
+			ErrMismatched, "", false, nil},
+		{"bytes left over", answer(ok+"first"+ok+"stale", false), nil, nil, "first", false, nil},
+		{"bytes while idle", func(u *upstream, c net.Conn, r *http.Request) {
+			answer(ok+"first", false)(u, c, r)
+			<-stray
+			io.WriteString(c, ok+"stale")
+		}, nil, nil, "first", false, func(p *Pool) { close(stray); awaitArrival(p) }},
+		{"closed while idle", answer(ok+"first", true), nil, nil, "first", false, awaitArrival},
+		{"asked to close", answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nfirst", false), nil,
+			nil, "first", false, nil},
+		{"short body", answer(ok+"fir", true), nil, ErrCut, "fir", false, nil},
+		{"short chunked body", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfir\r\n", true), nil,
+			ErrCut, "fir", false, nil},
+		{"malformed chunk", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfirst\r\n", false), nil,
+			ErrMalformed, "fir", false, nil},
+		{"body until close", answer("HTTP/1.1 200 OK\r\n\r\nfirst", true), nil, ErrMalformed, "", false, nil},
+		{"no response", answer("", true), nil, ErrCut, "", false, nil},
+		{"half a header", answer("HTTP/1.1 200 OK\r\nConte", true), nil, ErrCut, "", false, nil},
+		{"not HTTP", answer("250 hello\r\n\r\n", false), nil, ErrMalformed, "", false, nil},
+		{"two lengths", answer("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nfirst", false), nil,
+			ErrMalformed, "", false, nil},
+		{"switching protocols", answer("HTTP/1.1 101 Switching Protocols\r\n\r\n", false), nil, ErrMalformed, "", false, nil},
+		{"endless interim responses", answer(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 99), false), nil,
+			ErrMalformed, "", false, nil},
+		{"huge header", answer("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 99<<10), false), nil, ErrMalformed, "", false, nil},
+		{"answer before the end of a long request", answerFirst(ok + "first"),
+			func(r *http.Request) { r.Body, r.ContentLength = &endless{}, -1 }, nil, "first", false, nil},
+		{"body wanted", func(u *upstream, c net.Conn, r *http.Request) {
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			answer(ok+"first", false)(u, c, r)
+		}, func(r *http.Request) { r.Header.Set("Expect", "100-continue") }, nil, "first", true, nil},
+		{"body not wanted", answerFirst(ok + "first"), func(r *http.Request) { r.Header.Set("Expect", "100-continue") },
+			nil, "first", false, nil},
+		{"request body shorter than declared", answer(ok+"first", false), func(r *http.Request) { r.ContentLength = 99 },
+			ErrRequest, "", false, nil},
+		{"long request body shorter than declared", answer(ok+"first", false), func(r *http.Request) { r.ContentLength = 99 << 10 },
+			ErrRequest, "", false, nil},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			u := startUpstream(t, test.script)
+			p := NewPool(u.listener.Addr().String(), Options{})
+			defer p.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+
+			r, err := http.NewRequest("POST", "http://"+u.listener.Addr().String()+"/status", strings.NewReader("question"))
+			is.NoErr(err)
+			r.Header.Set(requestIDHeader, "r1")
+			if test.change != nil {
+				test.change(r)
+			}
+			body, out, err := call(ctx, p, r)
+			is.True(errors.Is(err, test.err))
+			is.True(err != io.EOF && !errors.Is(err, io.EOF))
+			is.Equal(body, test.body)
+			is.True(!out.Reused)
+			if test.description == "body not wanted" {
+				is.Equal(<-u.body, "") // the request body was held back
+			}
+			if test.reused {
+				is.Equal(p.Stats().Idle, 1)
+			}
+			if test.before != nil {
+				test.before(p)
+			}
+			second, err := http.NewRequest("GET", "http://"+u.listener.Addr().String()+"/status", nil)
+			is.NoErr(err)
+			body, out, err = call(ctx, p, second)
+			is.NoErr(err)
+			is.Equal(body, "second")
+			is.Equal(out.Reused, test.reused)
+			is.Equal(p.Stats().Open, 1) // the other one is closed
+		})
+	}
+}
+
+// call performs one exchange and reads the body.
+func call(ctx context.Context, p *Pool, r *http.Request) (string, Outcome, error) {
+	c, err := p.Connect(ctx, false)
+	if err != nil {
+		return "", Outcome{}, err
+	}
+	resp, out, err := c.Exchange(ctx, r)
+	if err != nil {
+		return "", out, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), out, err
+}
--- /dev/null
+++ b/internal/upstreamconn/options.go
@@ -0,0 +1,51 @@
+package upstreamconn
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Options configure a Pool.
+type Options struct {
+	// MaxConnections bounds the open connections, busy and idle. Default 300; zero means the default.
+	MaxConnections int
+	// DialTimeout bounds the opening of a connection. Default 1 s; zero means the default.
+	DialTimeout time.Duration
+	// IdleLimit is how long an idle connection is kept. Default 30 s; zero means the default.
+	IdleLimit time.Duration
+	// MaxHeaderBytes bounds the header of a response, in bytes. Default 64 KiB; zero means the default.
+	MaxHeaderBytes int
+	// Dial opens a connection. Default net.Dialer; nil means the default.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxConnections = 300
+	DefaultDialTimeout    = time.Second
+	DefaultIdleLimit      = 30 * time.Second
+	DefaultMaxHeaderBytes = 64 << 10
+)
+
+func (o Options) withDefaults() Options {
+	if o.MaxConnections == 0 {
+		o.MaxConnections = DefaultMaxConnections
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.IdleLimit == 0 {
+		o.IdleLimit = DefaultIdleLimit
+	}
+	if o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	if o.Dial == nil {
+		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/internal/upstreamconn/pool_test.go
@@ -0,0 +1,203 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakeUpstream serves in-memory connections under the fake clock of synctest.
+type fakeUpstream struct {
+	frozen  time.Time    // connections opened before this time do not answer; zero for none
+	service atomic.Int64 // ns until the response
+	closed  chan bool    // receives a value for each connection that the pool closes
+}
+
+func (f *fakeUpstream) pool(opts Options) *Pool {
+	f.closed = make(chan bool, 100)
+	opts.Dial = func(context.Context, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go f.serve(server, time.Now())
+		return client, nil
+	}
+	return NewPool("", opts)
+}
+
+func (f *fakeUpstream) serve(c net.Conn, opened time.Time) {
+	defer func() { f.closed <- true; c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		time.Sleep(time.Duration(f.service.Load()))
+		if opened.Before(f.frozen) {
+			continue
+		}
+		if _, err := io.WriteString(c, fine); err != nil {
+			return
+		}
+	}
+}
+
+func get(p *Pool, timeout time.Duration) (Outcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	r, err := http.NewRequest("GET", "http://upstream/status", nil)
+	if err != nil {
+		return Outcome{}, err
+	}
+	_, out, err := call(ctx, p, r)
+	return out, err
+}
+
+// Guards against an unresponsive connection that is taken for a slow upstream or the other way round, and against other
+// requests running into connections that are unresponsive for the same reason.
+func TestSilentConnections(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		frozen      bool // the open connections stop answering
+		service     time.Duration
+		meanwhile   bool // a new connection is used at the same time
+		err         error
+	}{
+		{"silent connection, upstream answers others", true, 0, true, ErrSilent},
+		{"silent connection, nothing else known", true, 0, false, ErrTimeout},
+		{"slow upstream", false, time.Minute, true, ErrTimeout},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstream{}
+				p := f.pool(Options{})
+				conns := make([]*Conn, 3)
+				for i := range conns { // three idle connections
+					conns[i], _ = p.Connect(t.Context(), true)
+				}
+				for _, c := range conns {
+					c.Release()
+				}
+				time.Sleep(time.Second)
+				if test.frozen {
+					f.frozen = time.Now()
+				}
+				f.service.Store(int64(test.service))
+				if test.meanwhile {
+					time.AfterFunc(time.Second, func() {
+						if c, err := p.Connect(t.Context(), true); err == nil {
+							r, _ := http.NewRequest("GET", "http://upstream/status", nil)
+							ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+							defer cancel()
+							if resp, _, err := c.Exchange(ctx, r); err == nil {
+								io.Copy(io.Discard, resp.Body)
+								resp.Body.Close()
+							}
+						}
+					})
+				}
+				out, err := get(p, 5*time.Second)
+				is.True(out.Reused)
+				is.True(out.BytesWritten > 0) // the outcome is unknown
+				is.True(errors.Is(err, test.err))
+				is.True(errors.Is(err, context.DeadlineExceeded))
+				f.service.Store(0)
+				_, err = get(p, 5*time.Second)
+				is.NoErr(err) // not on one of the other two
+				is.Equal(p.Stats().Distrusted, 2)
+				p.Close()
+				time.Sleep(test.service) // the upstream notices the end of a connection after its work
+			})
+		})
+	}
+}
+
+// Guards against more connections than the upstream allows, and against idle ones that are kept for ever.
+func TestConnectionLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeUpstream{}
+		p := f.pool(Options{MaxConnections: 2, IdleLimit: time.Minute})
+		first, err := p.Connect(t.Context(), false)
+		is.NoErr(err)
+		second, err := p.Connect(t.Context(), false)
+		is.NoErr(err)
+		_, err = p.Connect(t.Context(), true)
+		is.True(errors.Is(err, ErrMaxConnections))
+		first.Release()
+		first.Release() // a second time has no effect
+		third, err := p.Connect(t.Context(), true)
+		is.NoErr(err) // in place of the idle one
+		is.True(!third.Reused())
+		is.Equal(p.Stats().Open, 2)
+		second.Release()
+		_, _, err = second.Exchange(t.Context(), &http.Request{})
+		is.True(errors.Is(err, ErrUsed))
+		time.Sleep(30 * time.Second)
+		third.Release()
+		time.Sleep(31 * time.Second)
+		is.Equal(p.Stats().Open, 0) // third was not used either, so it is as old as it is open
+		p.Close()
+		_, err = p.Connect(t.Context(), false)
+		is.True(errors.Is(err, ErrClosed))
+	})
+}
+
+// Guards against a connection that stays open after its caller is gone, at any stage of the exchange.
+func TestContextClosesConnection(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		service     time.Duration
+		before      bool // cancelled before the exchange
+		readHeader  bool // cancelled after the header was read
+		written     bool
+		open        int
+	}{
+		{"before the exchange", 0, true, false, false, 1},
+		{"while waiting for the response", time.Hour, false, false, true, 0},
+		{"while the body is read", 0, false, true, true, 0},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeUpstream{}
+				f.service.Store(int64(test.service))
+				p := f.pool(Options{})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				c, err := p.Connect(ctx, false)
+				is.NoErr(err)
+				r, err := http.NewRequest("GET", "http://upstream/status", nil)
+				is.NoErr(err)
+				if test.before {
+					cancel()
+				} else if !test.readHeader {
+					time.AfterFunc(time.Second, cancel)
+				}
+				resp, out, err := c.Exchange(ctx, r)
+				is.Equal(err == nil, test.readHeader)
+				is.Equal(out.BytesWritten > 0, test.written)
+				if test.readHeader {
+					cancel()
+					synctest.Wait()
+					is.Equal(p.Stats().Open, 0) // even if nobody reads
+					io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				} else {
+					is.True(errors.Is(err, ErrCanceled) && errors.Is(err, context.Canceled))
+				}
+				is.Equal(p.Stats().Open, test.open)
+				p.Close()
+				<-f.closed
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/upstreamconn/sender.go
@@ -0,0 +1,114 @@
+package upstreamconn
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+)
+
+// maxInlineBody is the length up to which a request body is sent before the response is read, in bytes. It fits into the
+// socket buffers, so that an upstream that answers without reading it does not block the exchange.
+const maxInlineBody = 32 << 10
+
+// sender writes one request.
+type sender struct {
+	transport *transport
+	request   *http.Request
+	expect    *expectBody   // nil unless the body waits for 100 Continue
+	done      chan struct{} // closed when another goroutine has sent the request; nil if sent inline
+
+	mu      sync.Mutex
+	bodyErr error
+}
+
+func newSender(ctx context.Context, t *transport, r *http.Request) *sender {
+	s := &sender{transport: t, request: r}
+	hasBody := r.Body != nil && r.Body != http.NoBody
+	expects := hasBody && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+	if !expects && (!hasBody || r.ContentLength > 0 && r.ContentLength <= maxInlineBody) {
+		return s
+	}
+	s.done = make(chan struct{})
+	if expects {
+		s.expect = newExpectBody(ctx, r.Body)
+		s.request = new(http.Request)
+		*s.request = *r
+		s.request.Body = s.expect
+	}
+	return s
+}
+
+// start sends the request, or starts the goroutine that does. An error of the connection is left to the reader, because
+// the upstream may have answered before it closed the connection.
+func (s *sender) start() error {
+	if s.done == nil {
+		return s.send(func(w *bufio.Writer) error { return s.request.Write(byteWriter{w}) })
+	}
+	go func() {
+		defer close(s.done)
+		if s.send(func(w *bufio.Writer) error { return s.request.Write(w) }) != nil {
+			s.transport.close() // the upstream waits for the rest of the request
+		}
+	}()
+	return nil
+}
+
+// byteWriter hides the type of the writer from http.Request.Write, which would send header and body separately.
+type byteWriter struct{ *bufio.Writer }
+
+// send returns an error if the request is at fault.
+func (s *sender) send(write func(*bufio.Writer) error) error {
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(&s.transport.out)
+	err := write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(nil)
+	writers.Put(w)
+	if err == nil || s.expect != nil && s.expect.wasRefused() {
+		return nil
+	}
+	if _, connErr := s.transport.out.state(); connErr != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodyErr = err
+	return err
+}
+
+func (s *sender) bodyError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bodyErr
+}
+
+// finished reports whether the whole request was sent.
+func (s *sender) finished() bool {
+	if s.done != nil {
+		select {
+		case <-s.done:
+		default:
+			return false
+		}
+	}
+	_, connErr := s.transport.out.state()
+	return connErr == nil && s.bodyError() == nil && (s.expect == nil || !s.expect.wasRefused())
+}
+
+// sendBody lets a body that waits for 100 Continue go.
+func (s *sender) sendBody() {
+	if s.expect != nil {
+		s.expect.accept()
+	}
+}
+
+// refuseBody ends the wait for 100 Continue; a body that is being sent goes on.
+func (s *sender) refuseBody() {
+	if s.expect != nil {
+		s.expect.refuse()
+	}
+}
