--- a/placement/balance.go
+++ b/placement/balance.go
@@ -34,7 +34,8 @@
 		return nil
 	}
 	b := newBalancer(members, items)
-	b.returnHome()
+	for b.returnHome() {
+	}
 	b.fillOwnZone()
 	b.fillAnyZone()
 	b.enforceLimit()
@@ -120,16 +121,19 @@
 }
 
 // returnHome moves items that another zone serves back to their own zone. It stops at the mean, one below the limit that
-// moved them away, so that a small change does not move items back and forth.
-func (b *balancer) returnHome() {
+// moved them away, so that a small change does not move items back and forth. It tells whether it moved any: an item that
+// goes home can make room for another.
+func (b *balancer) returnHome() (moved bool) {
 	for _, it := range b.items {
 		if it.owner == nil || it.Fixed || it.owner.Zone == it.Zone {
 			continue
 		}
 		if o := least(b.byZone[it.Zone], it, b.mean); o != nil {
 			b.give(it, o)
+			moved = true
 		}
 	}
+	return moved
 }
 
 func (b *balancer) fillOwnZone() {
--- /dev/null
+++ b/placement/balance_test.go
@@ -0,0 +1,128 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/placement"
+)
+
+// items returns n items in each of zones zones, without owner.
+func items(zones, n int) []placement.Item {
+	var all []placement.Item
+	for z := range zones {
+		for i := range n {
+			all = append(all, placement.Item{Name: fmt.Sprintf("up-%d-%d", z, i), Zone: fmt.Sprintf("zone-%d", z)})
+		}
+	}
+	return all
+}
+
+// apply gives the items their owners and returns how many of those that had one moved.
+func apply(all []placement.Item, owners map[string]string) (moved int) {
+	for i := range all {
+		if all[i].Owner != "" && all[i].Owner != owners[all[i].Name] {
+			moved++
+		}
+		all[i].Owner = owners[all[i].Name]
+	}
+	return moved
+}
+
+func counts(all []placement.Item) map[string]int {
+	byOwner := make(map[string]int)
+	for _, it := range all {
+		byOwner[it.Owner]++
+	}
+	return byOwner
+}
+
+func without(all []placement.Member, name string) []placement.Member {
+	return slices.DeleteFunc(slices.Clone(all), func(m placement.Member) bool { return m.Name == name })
+}
+
+// Guards against moves that a change does not need, and against items served from another zone without need.
+func TestBalance(t *testing.T) {
+	for _, test := range []struct {
+		description   string
+		before, after []placement.Member
+		items         []placement.Item
+		moved, remote int // remote: items whose owner is in another zone after the change
+	}{
+		{"no change", members(3, 2), members(3, 2), items(3, 7), 0, 0},
+		{"one gateway leaves", members(3, 2), without(members(3, 2), "gw-1-0"), items(3, 4), 2, 0},
+		{"one gateway joins", members(3, 2), append(members(3, 2), placement.Member{Name: "new", Zone: "zone-0"}), items(3, 6), 2, 0},
+		{"a zone is stopped", members(3, 2), members(2, 2), items(3, 4), 4, 4},
+		{"a zone returns", members(2, 2), members(3, 2), items(3, 4), 4, 0},
+		{"a zone without gateways", members(2, 2), members(2, 2), items(3, 4), 0, 4},
+		{"every gateway is replaced", members(3, 1), []placement.Member{{Name: "x", Zone: "zone-0"}}, items(3, 2), 6, 4},
+		{"more gateways than items", members(3, 3), members(3, 3), items(3, 1), 0, 0},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			apply(test.items, placement.Balance(test.before, test.items))
+			is.Equal(apply(test.items, placement.Balance(test.after, test.items)), test.moved)
+			remote := 0
+			for _, it := range test.items {
+				i := slices.IndexFunc(test.after, func(m placement.Member) bool { return m.Name == it.Owner })
+				is.True(i >= 0)
+				if test.after[i].Zone != it.Zone {
+					remote++
+				}
+			}
+			is.Equal(remote, test.remote)
+		})
+	}
+}
+
+// Guards against items that are planned to move while a hand-over is under way.
+func TestBalanceLeavesFixedItems(t *testing.T) {
+	is := is.New(t)
+	all := items(1, 6)
+	for i := range all {
+		all[i].Owner, all[i].Fixed = "gw-0-0", i < 4
+	}
+	all = append(all, placement.Item{Name: "lost", Zone: "zone-0", Owner: "gone", Fixed: true})
+	owners := placement.Balance(members(1, 2), all)
+	for _, it := range all[:4] {
+		is.Equal(owners[it.Name], it.Owner)
+	}
+	is.Equal(owners["up-0-4"], "gw-0-1")
+	is.Equal(owners["up-0-5"], "gw-0-1")
+	is.Equal(owners["lost"], "") // its next owner is not known yet
+	is.Equal(len(placement.Balance(nil, all)), 0)
+}
+
+// Guards against overloaded gateways, plans that never settle, and plans that depend on the order of their input, under
+// random joins and losses. Seeds are fixed.
+func TestBalanceRandomChanges(t *testing.T) {
+	for seed := range uint64(30) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		is := is.New(t)
+		pool, all := members(3, 4), items(3, 9)
+		live := slices.Clone(pool)
+		for range 60 {
+			m := pool[rnd.IntN(len(pool))]
+			if rest := without(live, m.Name); len(rest) < len(live) && len(rest) > 0 {
+				live = rest
+			} else if len(rest) == len(live) {
+				live = append(live, m)
+			}
+			before := counts(all)
+			moved := apply(all, placement.Balance(live, all))
+			for owner, n := range counts(all) {
+				is.True(n <= placement.Limit(len(all), len(live))) // ceil(mean)+1
+				is.True(slices.ContainsFunc(live, func(m placement.Member) bool { return m.Name == owner }))
+			}
+			// The changed gateway's share moves, and at most as much again, to bring items home or level a zone.
+			is.True(moved <= 2*max(before[m.Name], counts(all)[m.Name]))
+			rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+			rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+			is.Equal(apply(all, placement.Balance(live, all)), 0) // settled
+		}
+	}
+}
