--- /dev/null
+++ b/vfs/vfstest/file.go
@@ -0,0 +1,62 @@
+package vfstest
+
+import "io/fs"
+
+// file is an open file.
+type file struct {
+	fs     *FS
+	node   *inode
+	epoch  int
+	closed bool
+}
+
+// Write appends p. An injected fault writes the first half of p.
+func (f *file) Write(p []byte) (int, error) {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.usable(); err != nil {
+		return 0, err
+	}
+	if f.fs.writes.hit() {
+		f.node.write(p[:len(p)/2])
+		return len(p) / 2, ErrInjected
+	}
+	f.node.write(p)
+	return len(p), nil
+}
+
+// Sync makes the contents durable.
+func (f *file) Sync() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if err := f.usable(); err != nil {
+		return err
+	}
+	if f.fs.syncs.hit() {
+		f.node.failSync()
+		return ErrInjected
+	}
+	f.node.sync()
+	return nil
+}
+
+// Close closes the handle and syncs nothing.
+func (f *file) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if f.closed {
+		return fs.ErrClosed
+	}
+	f.closed = true
+	return nil
+}
+
+func (f *file) usable() error {
+	if f.closed {
+		return fs.ErrClosed
+	}
+	if f.epoch != f.fs.epoch {
+		return ErrStopped
+	}
+	return f.fs.begin()
+}
--- /dev/null
+++ b/vfs/vfstest/fs.go
@@ -0,0 +1,217 @@
+// Package vfstest provides a file system in memory for tests of durable state. A crash loses everything that was not
+// synced: contents of files that were not synced, and names in directories that were not synced. Faults can be injected
+// at any single operation.
+package vfstest
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"sort"
+	"sync"
+
+	"github.com/bramleypick/bramleypick/vfs"
+)
+
+// Errors that injected faults return.
+var (
+	ErrInjected = errors.New("vfstest: injected fault")
+	ErrStopped  = errors.New("vfstest: file system stopped")
+)
+
+// FS is a file system in memory. It is safe for concurrent use. Directories exist implicitly.
+type FS struct {
+	mu      sync.Mutex
+	names   map[string]*inode // as a running process sees them
+	durable map[string]*inode // as they are after a crash
+	lost    map[string]bool   // names whose change was dropped by a failed SyncDir
+	ops     int               // mutating operations so far
+	stopAt  int               // operations allowed, 0 for no limit
+	syncs   countdown
+	writes  countdown
+	epoch   int // number of crashes; handles of an earlier epoch are dead
+}
+
+var _ vfs.FS = (*FS)(nil)
+
+// New returns an empty file system.
+func New() *FS {
+	return &FS{names: map[string]*inode{}, durable: map[string]*inode{}, lost: map[string]bool{}}
+}
+
+// begin counts one mutating operation and fails if the file system has stopped.
+func (f *FS) begin() error {
+	if f.stopAt > 0 && f.ops >= f.stopAt {
+		return ErrStopped
+	}
+	f.ops++
+	return nil
+}
+
+// MkdirAll does nothing: directories exist implicitly and are durable.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Open opens a file for reading.
+func (f *FS) Open(name string) (io.ReadCloser, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.names[filepath.Clean(name)]
+	if !ok {
+		return nil, notExist("open", name)
+	}
+	return io.NopCloser(bytes.NewReader(bytes.Clone(node.data))), nil
+}
+
+// Create creates an empty file.
+func (f *FS) Create(name string) (vfs.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name = filepath.Clean(name)
+	if f.names[name] != nil {
+		return nil, &fs.PathError{Op: "create", Path: name, Err: fs.ErrExist}
+	}
+	if err := f.begin(); err != nil {
+		return nil, err
+	}
+	node := &inode{}
+	f.setName(name, node)
+	return &file{fs: f, node: node, epoch: f.epoch}, nil
+}
+
+// Append opens an existing file for writing at its end.
+func (f *FS) Append(name string) (vfs.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.names[filepath.Clean(name)]
+	if !ok {
+		return nil, notExist("append", name)
+	}
+	return &file{fs: f, node: node, epoch: f.epoch}, nil
+}
+
+// Truncate cuts a file to size bytes.
+func (f *FS) Truncate(name string, size int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node, ok := f.names[filepath.Clean(name)]
+	if !ok {
+		return notExist("truncate", name)
+	}
+	if size < 0 || size > int64(len(node.data)) {
+		return &fs.PathError{Op: "truncate", Path: name, Err: fs.ErrInvalid}
+	}
+	if err := f.begin(); err != nil {
+		return err
+	}
+	node.truncate(int(size))
+	return nil
+}
+
+// Rename moves a file.
+func (f *FS) Rename(oldName, newName string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oldName, newName = filepath.Clean(oldName), filepath.Clean(newName)
+	node, ok := f.names[oldName]
+	if !ok {
+		return notExist("rename", oldName)
+	}
+	if err := f.begin(); err != nil {
+		return err
+	}
+	f.setName(oldName, nil)
+	f.setName(newName, node)
+	return nil
+}
+
+// Remove deletes a file.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name = filepath.Clean(name)
+	if f.names[name] == nil {
+		return notExist("remove", name)
+	}
+	if err := f.begin(); err != nil {
+		return err
+	}
+	f.setName(name, nil)
+	return nil
+}
+
+// List returns the sorted names of the files in a directory.
+func (f *FS) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.names {
+		if filepath.Dir(name) == filepath.Clean(dir) {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir makes the names in a directory durable. Names whose change an earlier failed SyncDir dropped stay as they
+// were on disk until they change again.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.begin(); err != nil {
+		return err
+	}
+	failed := f.syncs.hit()
+	for name := range f.changedNames(filepath.Clean(dir)) {
+		switch {
+		case failed:
+			f.lost[name] = true
+		case !f.lost[name]:
+			setOrDelete(f.durable, name, f.names[name])
+		}
+	}
+	if failed {
+		return ErrInjected
+	}
+	return nil
+}
+
+// changedNames returns the names in dir that differ between the running system and the disk.
+func (f *FS) changedNames(dir string) map[string]bool {
+	changed := map[string]bool{}
+	for name, node := range f.names {
+		if f.durable[name] != node {
+			changed[name] = true
+		}
+	}
+	for name, node := range f.durable {
+		if f.names[name] != node {
+			changed[name] = true
+		}
+	}
+	for name := range changed {
+		if filepath.Dir(name) != dir {
+			delete(changed, name)
+		}
+	}
+	return changed
+}
+
+func (f *FS) setName(name string, node *inode) {
+	delete(f.lost, name)
+	setOrDelete(f.names, name, node)
+}
+
+func setOrDelete(names map[string]*inode, name string, node *inode) {
+	if node == nil {
+		delete(names, name)
+		return
+	}
+	names[name] = node
+}
+
+func notExist(op, name string) error {
+	return &fs.PathError{Op: op, Path: name, Err: fs.ErrNotExist}
+}
