--- a/vfs/os.go
+++ b/vfs/os.go
@@ -18,21 +18,21 @@
 
 var _ FS = OS{}
 
-// MkdirAll creates a directory and its missing parents and syncs the parent of each directory that it creates.
+// MkdirAll creates a directory and its missing parents. It syncs the parent even if the directory exists, because an
+// earlier process may have been killed between creating and syncing.
 func (o OS) MkdirAll(dir string) error {
 	dir = filepath.Clean(dir)
-	if info, err := os.Stat(dir); err == nil && info.IsDir() {
-		return nil
-	}
 	parent := filepath.Dir(dir)
-	if parent != dir {
-		if err := o.MkdirAll(parent); err != nil {
+	if info, err := os.Stat(dir); err != nil || !info.IsDir() {
+		if parent != dir {
+			if err := o.MkdirAll(parent); err != nil {
+				return err
+			}
+		}
+		if err := os.Mkdir(dir, dirMode); err != nil {
 			return err
 		}
 	}
-	if err := os.Mkdir(dir, dirMode); err != nil {
-		return err
-	}
 	return o.SyncDir(parent)
 }
 
--- /dev/null
+++ b/wal/wal_test.go
@@ -0,0 +1,341 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/vfs"
+	"github.com/bramleypick/bramleypick/vfs/vfstest"
+)
+
+const testDir = "data"
+
+var smallSegments = Options{SegmentBytes: 400}
+
+// step is one call of the log and its effect on what Open must return.
+type step struct {
+	name string
+	call func(l *Log) error
+	want func(r replog.Restored) replog.Restored
+}
+
+func save(term, commit, first uint64, count int) step {
+	hs := &replog.HardState{Term: term, Vote: 2, Commit: commit}
+	var entries []replog.Entry
+	for i := range uint64(count) {
+		data := fmt.Appendf(nil, "entry %d of term %d", first+i, term)
+		entries = append(entries, replog.Entry{Index: first + i, Term: term, Data: data})
+	}
+	return step{
+		name: fmt.Sprintf("save %d from %d", count, first),
+		call: func(l *Log) error { return l.Save(hs, entries) },
+		want: func(r replog.Restored) replog.Restored {
+			r.HardState = *hs
+			kept := r.Entries
+			if len(entries) > 0 {
+				kept = kept[:min(len(kept), int(first-r.Snapshot.Index-1))]
+			}
+			r.Entries = append(append([]replog.Entry(nil), kept...), entries...)
+			return r
+		},
+	}
+}
+
+// snapshot replaces the log's start, or all of it if the log doesn't contain its last entry.
+func snapshot(index, term uint64, keepsTail bool) step {
+	s := replog.Snapshot{Index: index, Term: term, Data: fmt.Appendf(nil, "state at %d", index)}
+	s.Membership.Voters = []replog.NodeID{1, 2, 3}
+	return step{
+		name: fmt.Sprintf("snapshot at %d", index),
+		call: func(l *Log) error { return l.SaveSnapshot(s) },
+		want: func(r replog.Restored) replog.Restored {
+			kept := []replog.Entry(nil)
+			for _, entry := range r.Entries {
+				if keepsTail && entry.Index > index {
+					kept = append(kept, entry)
+				}
+			}
+			r.HardState.Commit = max(r.HardState.Commit, index)
+			r.Snapshot, r.Entries = s, kept
+			return r
+		},
+	}
+}
+
+// script covers rewriting, full segments, and snapshots that keep and that replace the log.
+var script = []step{
+	save(1, 0, 1, 3), save(1, 2, 4, 5), save(2, 2, 6, 2), save(2, 6, 8, 12), snapshot(5, 1, true), save(2, 10, 20, 8),
+	save(3, 10, 15, 1), save(3, 15, 16, 9), snapshot(16, 3, true), save(3, 20, 25, 0), snapshot(20, 9, false),
+	save(9, 20, 21, 3), snapshot(40, 9, false), save(9, 41, 41, 6), snapshot(46, 9, true),
+}
+
+func describe(r replog.Restored) string { return fmt.Sprintf("%+v", r) }
+
+// states returns what Open must return after each number of steps.
+func states() []string {
+	r := replog.Restored{}
+	list := []string{describe(r)}
+	for _, s := range script {
+		r = s.want(r)
+		list = append(list, describe(r))
+	}
+	return list
+}
+
+func mustOpen(t *testing.T, fsys vfs.FS) (*Log, string) {
+	t.Helper()
+	l, restored, err := Open(fsys, testDir, smallSegments)
+	is.New(t).NoErr(err)
+	return l, describe(restored)
+}
+
+// run opens the log and performs the script from step first until a call fails. It returns the number of steps done.
+func run(fsys vfs.FS, first int) (*Log, int, error) {
+	l, _, err := Open(fsys, testDir, smallSegments)
+	if err != nil {
+		return nil, first, err
+	}
+	for i := first; i < len(script); i++ {
+		if err := script[i].call(l); err != nil {
+			return l, i, err
+		}
+	}
+	return l, len(script), nil
+}
+
+// Guards against loss and invention by a crash after each file operation, with each outcome for unsynced data, and
+// against an Open that can't continue afterwards. A second crash during Open is tried for a third of the outcomes,
+// since it takes most of the time.
+func TestCrashAfterEveryOperation(t *testing.T) {
+	crashes := []vfstest.Crash{
+		{}, {KeepNames: true}, {Tear: true, KeepNames: true}, {Tear: true, TearAt: 30, ZeroFill: true, KeepNames: true},
+		{Tear: true, TearAt: 11}, {Tear: true, TearAt: 1 << 20, KeepNames: true},
+	}
+	want := states()
+	for i, crash := range crashes {
+		for n := 0; ; n++ {
+			fsys := vfstest.New()
+			fsys.StopAfter(n)
+			_, done, err := run(fsys, 0)
+			if err == nil {
+				break
+			}
+			fsys.Crash(crash)
+			before := fsys.Clone()
+			_, got := mustOpen(t, fsys)
+			allowed := []string{want[done], want[min(done+1, len(script))]}
+			if got != allowed[0] && got != allowed[1] {
+				t.Fatalf("%+v after operation %d in %q: got %s\nwant %v", crash, n, script[done].name, got, allowed)
+			}
+			if i%3 == 0 {
+				crashDuringOpen(t, before, got)
+			}
+			if got != want[done] {
+				done++
+			}
+			fsys.Crash(vfstest.Crash{})
+			if _, _, err := run(fsys, done); err != nil {
+				t.Fatalf("%+v after operation %d: continuing: %v", crash, n, err)
+			}
+			fsys.Crash(vfstest.Crash{})
+			if _, got := mustOpen(t, fsys); got != want[len(script)] {
+				t.Fatalf("%+v after operation %d: after continuing got %s", crash, n, got)
+			}
+		}
+	}
+}
+
+// crashDuringOpen checks that a crash after each operation of Open changes nothing that the next Open returns.
+func crashDuringOpen(t *testing.T, before *vfstest.FS, want string) {
+	t.Helper()
+	for n := 0; ; n++ {
+		fsys := before.Clone()
+		fsys.StopAfter(n)
+		_, _, err := Open(fsys, testDir, smallSegments)
+		fsys.Crash(vfstest.Crash{})
+		if _, got := mustOpen(t, fsys); got != want {
+			t.Fatalf("crash after operation %d of Open: got %s, want %s", n, got, want)
+		}
+		if err == nil {
+			return
+		}
+	}
+}
+
+// Guards against retrying over lost pages: after a failed write or fsync every call is refused, and a new process
+// returns only what is still there after a loss of power.
+func TestFailedWriteAndFsync(t *testing.T) {
+	faults := map[string]func(f *vfstest.FS, n int){
+		"fsync": (*vfstest.FS).FailSync,
+		"write": (*vfstest.FS).FailWrite,
+	}
+	want := states()
+	for name, inject := range faults {
+		for n := 1; ; n++ {
+			fsys := vfstest.New()
+			inject(fsys, n)
+			l, done, err := run(fsys, 0)
+			if err == nil {
+				break
+			}
+			if !errors.Is(err, vfstest.ErrInjected) || l != nil && !errors.Is(err, ErrFailed) {
+				t.Fatalf("%s %d: got error %v", name, n, err)
+			}
+			if l != nil {
+				ops := fsys.Ops()
+				for _, s := range script[done:] {
+					if err := s.call(l); !errors.Is(err, ErrFailed) {
+						t.Fatalf("%s %d: %s after the failure returned %v", name, n, s.name, err)
+					}
+				}
+				if fsys.Ops() != ops {
+					t.Fatalf("%s %d: file operations after the failure", name, n)
+				}
+			}
+			fsys.Restart()
+			_, got := mustOpen(t, fsys)
+			if got != want[done] && got != want[min(done+1, len(script))] {
+				t.Fatalf("%s %d in %q: got %s", name, n, script[done].name, got)
+			}
+			fsys.Crash(vfstest.Crash{})
+			if _, again := mustOpen(t, fsys); again != got {
+				t.Fatalf("%s %d: Open returned %s, after a crash %s", name, n, got, again)
+			}
+		}
+	}
+}
+
+// Guards against refusing or misreading a record torn at any byte, with the rest missing or zero.
+func TestTornTail(t *testing.T) {
+	want := states()
+	for _, zeros := range []bool{false, true} {
+		for cut := 0; ; cut++ {
+			fsys := vfstest.New()
+			l, _, _ := run(fsys, 0)
+			last := save(9, 46, 47, 2)
+			fsys.StopAfter(1) // the write succeeds, the fsync doesn't happen
+			is.New(t).True(last.call(l) != nil)
+			complete := cut >= l.buf.Len()
+			fsys.Crash(vfstest.Crash{Tear: true, TearAt: cut, ZeroFill: zeros})
+			_, got := mustOpen(t, fsys)
+			if !complete && got != want[len(script)] {
+				t.Fatalf("cut at %d, zeros %v: got %s", cut, zeros, got)
+			}
+			if complete {
+				is.New(t).True(got != want[len(script)])
+				break
+			}
+		}
+	}
+}
+
+// Guards against continuing from damaged files: each byte of each file is damaged, and each file removed in turn. Only
+// the last record may be taken for a torn one.
+func TestDamage(t *testing.T) {
+	steps := 9 // several segments and a snapshot are in use
+	build := func(t *testing.T) *vfstest.FS {
+		fsys := vfstest.New()
+		l, _ := mustOpen(t, fsys)
+		for _, s := range script[:steps] {
+			is.New(t).NoErr(s.call(l))
+		}
+		is.New(t).NoErr(save(3, 20, 25, 1).call(l))
+		is.New(t).NoErr(save(3, 21, 26, 1).call(l))
+		return fsys
+	}
+	fsys := build(t)
+	names, _ := fsys.List(testDir)
+	is.New(t).True(len(names) >= 4)
+	_, intact := mustOpen(t, fsys.Clone())
+	newest := takeInventory(names).segments
+	for _, name := range names {
+		path := filepath.Join(testDir, name)
+		data, _ := vfs.ReadFile(fsys, path)
+		lastRecord := 0
+		if number := newest[len(newest)-1]; name == numberedName(number, segmentSuffix) {
+			for offset := 0; offset < len(data); {
+				rec, _ := readRecord(data, number, offset)
+				lastRecord, offset = offset, rec.end
+			}
+		}
+		for offset := range data {
+			damaged := fsys.Clone()
+			damaged.Corrupt(path, offset)
+			checkDamage(t, damaged, path, offset, lastRecord > 0 && offset >= lastRecord, intact)
+		}
+		if lastRecord == 0 {
+			removed := fsys.Clone()
+			is.New(t).NoErr(removed.Remove(path))
+			checkDamage(t, removed, path, 0, false, intact)
+		}
+	}
+}
+
+func checkDamage(t *testing.T, fsys *vfstest.FS, path string, offset int, torn bool, intact string) {
+	t.Helper()
+	_, restored, err := Open(fsys, testDir, smallSegments)
+	var corrupt *CorruptError
+	switch {
+	case torn && err == nil && describe(restored) != intact:
+	case !torn && errors.As(err, &corrupt) && corrupt.File == path && corrupt.Offset <= int64(offset):
+	default:
+		t.Fatalf("%s damaged at %d: error %v, restored %+v", path, offset, err, restored)
+	}
+}
+
+// Guards against accepting calls that would leave a gap or go back behind the snapshot.
+func TestRefusedCalls(t *testing.T) {
+	tests := []struct {
+		name string
+		step step
+		want error
+	}{
+		{"gap after the end", save(9, 46, 48, 1), ErrOrder},
+		{"entry within the snapshot", save(9, 46, 46, 1), ErrOrder},
+		{"same snapshot again", snapshot(46, 9, true), ErrStaleSnapshot},
+		{"older snapshot", snapshot(45, 9, true), ErrStaleSnapshot},
+		{"next entry", save(9, 46, 47, 1), nil},
+	}
+	l, _, err := run(vfstest.New(), 0)
+	is.New(t).NoErr(err)
+	for _, test := range tests {
+		if err := test.step.call(l); !errors.Is(err, test.want) {
+			t.Errorf("%s: got %v, want %v", test.name, err, test.want)
+		}
+	}
+	is.New(t).NoErr(l.Close())
+	is.New(t).Equal(l.Save(&replog.HardState{}, nil), ErrClosed)
+}
+
+// Guards against a snapshot that is written while entries are saved losing any of them.
+func TestSaveDuringSnapshot(t *testing.T) {
+	is := is.New(t)
+	fsys := vfstest.New()
+	l, _ := mustOpen(t, fsys)
+	is.NoErr(save(1, 0, 1, 50).call(l))
+	var writers sync.WaitGroup
+	writers.Go(func() {
+		for index := uint64(1); index <= 50; index++ {
+			if err := snapshot(index, 1, true).call(l); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	for index := uint64(51); index <= 200; index++ {
+		is.NoErr(save(1, 0, index, 1).call(l))
+	}
+	writers.Wait()
+	is.Equal(l.Stats().Saves, uint64(151))
+	is.Equal(l.Stats().Snapshots, uint64(50))
+	fsys.Crash(vfstest.Crash{})
+	_, restored, err := Open(fsys, testDir, smallSegments)
+	is.NoErr(err)
+	is.Equal(restored.Snapshot.Index, uint64(50))
+	is.Equal(len(restored.Entries), 150)
+}
