--- a/wal/doc.go
+++ b/wal/doc.go
@@ -10,8 +10,8 @@
 // snapshot and the segments in use; the header of the last segment is authoritative, so a snapshot takes effect when
 // the segment that names it is durable. Each Save appends one record. A record that is incomplete or damaged and has no
 // valid record after it was never acknowledged, because Save syncs each record before the next is written; Open drops
-// it. Damage by the medium to the very last acknowledged record, or loss of the last segment's name after it was synced,
-// can't be told from that case.
+// it. Damage by the medium to the very last acknowledged record, or loss of the last segment after it was synced, can't
+// be told from that case.
 //
 // Only one Log may use a directory at a time.
 package wal
--- a/wal/log.go
+++ b/wal/log.go
@@ -41,7 +41,8 @@
 }
 
 // Save makes the hard state, if not nil, and the entries durable with one fsync. Entries must be contiguous; an index
-// that exists already replaces that entry and all later ones. When a segment is full, a new one costs two fsyncs more.
+// that exists already replaces that entry and all later ones. The commit index must not be after the last entry: Open
+// takes such a log for one that has lost entries. When a segment is full, a new one costs two fsyncs more.
 func (l *Log) Save(hs *replog.HardState, entries []replog.Entry) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -54,6 +55,9 @@
 	if err := l.tail.check(entries); err != nil {
 		return err
 	}
+	if hs != nil && hs.Commit > l.endAfter(entries) {
+		return fmt.Errorf("%w: commit index %d after the end", ErrOrder, hs.Commit)
+	}
 	if l.size >= l.opts.SegmentBytes {
 		if err := l.startSegment(l.segments[0].number); err != nil {
 			return err
@@ -73,6 +77,14 @@
 	return nil
 }
 
+// endAfter returns the index of the last entry after a Save of entries.
+func (l *Log) endAfter(entries []replog.Entry) uint64 {
+	if len(entries) == 0 {
+		return l.tail.last.Index
+	}
+	return entries[len(entries)-1].Index
+}
+
 // appendBatch writes one record to the last segment and syncs it.
 func (l *Log) appendBatch(b batch) error {
 	l.buf.Reset()
--- a/wal/replay.go
+++ b/wal/replay.go
@@ -128,8 +128,10 @@
 	if len(t.entries) > 0 && t.entries[0].Index != next || len(t.entries) == 0 && t.last.Index >= next {
 		return nil, last.corrupt(0, "entries after the snapshot are missing")
 	}
-	// The commit index is a hint that the leader renews; it may be ahead of a snapshot that was not saved.
-	l.hard.Commit = min(max(l.hard.Commit, t.snapshot.Index), t.last.Index)
+	l.hard.Commit = max(l.hard.Commit, t.snapshot.Index)
+	if l.hard.Commit > t.last.Index {
+		return nil, last.corrupt(r.end, "log ends before the commit index, acknowledged entries are missing")
+	}
 	entries := t.entries
 	t.entries = stripData(entries)
 	return entries, nil
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -298,6 +298,7 @@
 	}{
 		{"gap after the end", save(9, 46, 48, 1), ErrOrder},
 		{"entry within the snapshot", save(9, 46, 46, 1), ErrOrder},
+		{"commit index after the end", save(9, 47, 47, 0), ErrOrder},
 		{"same snapshot again", snapshot(46, 9, true), ErrStaleSnapshot},
 		{"older snapshot", snapshot(45, 9, true), ErrStaleSnapshot},
 		{"next entry", save(9, 46, 47, 1), nil},
