--- a/cmd/bramleypick/main.go
+++ b/cmd/bramleypick/main.go
@@ -25,9 +25,9 @@
 		Name:  "bramleypick",
 		Usage: "an L7 load balancer for upstreams whose load shifts within milliseconds",
 		Commands: []*cli.Command{
-			runCommand(), checkCommand(),
+			runCommand(), bootstrapCommand(), checkCommand(),
 			applyCommand(), configCommand(), statusCommand(), stopCommand(), returnCommand(),
-			keysCommand(), trialCommand(), loadCommand(),
+			keysCommand(), trialCommand(),
 		},
 	}
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -26,6 +26,7 @@
 	ReadBarrier(ctx context.Context) (uint64, error)
 	ChangeMembership(ctx context.Context, change replog.MembershipChange) error
 	Status() replog.Status
+	SetDesiredVoters(ids []replog.NodeID)
 	Query(f func())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,9 @@
 
 	listeners []net.Listener
 	ready     chan struct{} // closed once peers may call
+
+	endRenewals context.CancelFunc
+	renewals    sync.WaitGroup
 }
 
 // New provisions a daemon and opens its listeners. The settings must be valid. Nothing runs before Run.
@@ -168,11 +171,15 @@
 	defer d.close()
 	background, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	defer d.renewals.Wait()
 	defer wg.Wait()
 	defer cancel()
 	for _, duty := range d.duties() {
 		wg.Go(func() { duty(background) })
 	}
+	renewing, endRenewals := context.WithCancel(background)
+	d.endRenewals = endRenewals
+	d.renewals.Go(func() { d.session.Run(renewing) })
 	serveErrors := make(chan error, 2)
 	wg.Go(func() { serveErrors <- d.callers.Serve(d.listeners[0]) })
 	wg.Go(func() { serveErrors <- d.operators.Serve(d.listeners[1]) })
@@ -190,7 +197,7 @@
 
 // duties returns the background duties, one goroutine each.
 func (d *Daemon) duties() []func(context.Context) {
-	duties := []func(context.Context){d.session.Run, d.upstreams.run, d.handover.run, d.loads.run}
+	duties := []func(context.Context){d.upstreams.run, d.handover.run, d.loads.run}
 	if d.replica != nil {
 		duties = append(duties, d.replica.server.Run)
 	}
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -110,3 +111,49 @@
 func (r *replica) stop() error {
 	return errors.Wrap(r.node.Stop(), "stop the control replica")
 }
+
+// startReplica opens the data folder and runs the replica.
+func (d *Daemon) startReplica() error {
+	s := d.settings
+	names := replicaNames(s)
+	machine := &publishingMachine{Machine: controlstate.New(controlstate.Options{})}
+	var server *controlplane.Server
+	started := make(chan struct{})
+	machine.published = func() {
+		// Start restores and applies before the server exists.
+		select {
+		case <-started:
+			server.Published()
+		default:
+		}
+	}
+	node, err := controlnode.Start(controlnode.Config{
+		ID: replog.NodeID(s.NodeID), Dir: dataDir(s),
+	}, machine, replicaTransport{network: d.network, names: names, log: d.log.Named("replog")})
+	if err != nil {
+		return errors.Wrap(err, "start the control replica")
+	}
+	server = controlplane.New(controlplane.Config{
+		Node: node, Machine: machine.Machine, Replicas: replicaInfos(s),
+		SessionTTL: time.Duration(s.SessionTTLMillis) * time.Millisecond, Log: d.log.Named("control"),
+	})
+	close(started)
+	server.Published()
+	d.replica = &replica{node: node, server: server, names: names}
+	return nil
+}
+
+// Bootstrap founds a control group: it writes the first membership into an empty data folder. It is run once for each of the
+// first replicas and never again, because a replica that lost its disk and founded the group anew could vote twice.
+func Bootstrap(s settings.Settings) error {
+	if !s.HasRole(settings.RoleControl) || len(s.BootstrapVoters) == 0 {
+		return errors.New("the settings name no control role or no bootstrap_voters")
+	}
+	var membership replog.Membership
+	for _, id := range s.BootstrapVoters {
+		membership.Voters = append(membership.Voters, replog.NodeID(id))
+	}
+	return errors.Wrap(controlnode.Bootstrap(controlnode.Config{
+		ID: replog.NodeID(s.NodeID), Dir: dataDir(s), Bootstrap: membership,
+	}, controlstate.New(controlstate.Options{})), "found the control group")
+}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -72,13 +72,16 @@
 	}
 }
 
-// endSession ends the session, so that nobody waits for its lease to run out.
+// endSession stops renewing and ends the session, so that nobody waits for its lease to run out.
 func (d *Daemon) endSession(ctx context.Context) {
+	sessionID := d.session.Lease().SessionID()
+	d.endRenewals()
+	d.renewals.Wait()
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	_, err := d.client.Submit(ctx, controlstate.Command{
 		Kind:          controlstate.KindExpireSession,
-		ExpireSession: &controlstate.ExpireSession{SessionID: d.session.Lease().SessionID()},
+		ExpireSession: &controlstate.ExpireSession{SessionID: sessionID},
 	})
 	if err != nil {
 		d.log.Warn("session not ended", zap.Error(err))
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -64,6 +64,10 @@
 	if view == nil {
 		return api.Announced{}, resultcode.Errorf(resultcode.ControlUnavailable, "the gateway has no view of the control state yet")
 	}
+	if view.Config.Service(a.Service) == nil || !view.Config.HasZone(a.Zone) {
+		// Refused here, so that upstreams that announce themselves before they are configured do not fill the log.
+		return api.Announced{}, resultcode.Errorf(resultcode.UnknownService, "no service %q or no availability zone %q", a.Service, a.Zone)
+	}
 	info := view.Upstream(id)
 	if info == nil || differs(info, a) {
 		return u.register(ctx, id, a)
