--- /dev/null
+++ b/internal/controlnode/events.go
@@ -0,0 +1,52 @@
+package controlnode
+
+import "time"
+
+// maxTaken bounds the events of one iteration, so that a steady stream of them doesn't delay persisting.
+const maxTaken = inboxCapacity + proposalCapacity
+
+// wait blocks until one event was handled, and returns false when the replica is stopped.
+func (n *Node) wait(ticks <-chan time.Time) (more bool, err error) {
+	select {
+	case <-n.stopping:
+		return false, nil
+	case <-ticks:
+		n.core.Tick()
+	case m := <-n.inbox:
+		err = n.step(m)
+	case p := <-n.proposals:
+		n.propose(p)
+	case b := <-n.barriers:
+		n.reads.add(b)
+	case ids := <-n.desired:
+		n.voters.desired = ids
+	case t := <-n.snapshots.taken:
+		n.saveTaken(t)
+	case s := <-n.snapshots.saved:
+		err = n.compact(s)
+	}
+	return true, err
+}
+
+// takeOne handles one event that has arrived already, and returns false if there is none.
+func (n *Node) takeOne(ticks <-chan time.Time) (taken bool, err error) {
+	select {
+	case <-ticks:
+		n.core.Tick()
+	case m := <-n.inbox:
+		err = n.step(m)
+	case p := <-n.proposals:
+		n.propose(p)
+	case b := <-n.barriers:
+		n.reads.add(b)
+	case ids := <-n.desired:
+		n.voters.desired = ids
+	case t := <-n.snapshots.taken:
+		n.saveTaken(t)
+	case s := <-n.snapshots.saved:
+		err = n.compact(s)
+	default:
+		return false, nil
+	}
+	return true, err
+}
--- /dev/null
+++ b/internal/controlnode/group_test.go
@@ -0,0 +1,297 @@
+package controlnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/vfs"
+	"github.com/bramleypick/bramleypick/vfs/vfstest"
+	"github.com/bramleypick/bramleypick/wal"
+)
+
+// record is a state machine that remembers every command. Commands contain no newline.
+type record struct{ commands []string }
+
+func (r *record) Apply(index uint64, data []byte) []byte {
+	r.commands = append(r.commands, string(data))
+	return fmt.Appendf(nil, "%d %s", index, data)
+}
+
+func (r *record) Snapshot() ([]byte, error) { return []byte(strings.Join(r.commands, "\n")), nil }
+
+func (r *record) Restore(data []byte) error {
+	r.commands = nil
+	if len(data) > 0 {
+		r.commands = strings.Split(string(data), "\n")
+	}
+	return nil
+}
+
+// replica is a member of a group; node is nil while it is down.
+type replica struct {
+	node *Node
+	fs   vfs.FS
+	sm   *record
+}
+
+// group runs replicas in one process. Messages are delivered at once unless their link is cut.
+type group struct {
+	t        testing.TB
+	mu       sync.Mutex
+	replicas map[replog.NodeID]*replica
+	cut      map[[2]replog.NodeID]bool
+	sent     map[replog.NodeID]int
+	adjust   func(*Config)
+	bootIDs  []replog.NodeID
+}
+
+type link struct {
+	group *group
+	from  replog.NodeID
+}
+
+func (l link) Send(to replog.NodeID, m replog.Message) {
+	l.group.mu.Lock()
+	r, cut := l.group.replicas[to], l.group.cut[[2]replog.NodeID{l.from, to}]
+	l.group.sent[l.from]++
+	var node *Node
+	if r != nil {
+		node = r.node
+	}
+	l.group.mu.Unlock()
+	if node != nil && !cut {
+		node.Receive(m)
+	}
+}
+
+func newGroup(t testing.TB, size int, adjust func(*Config)) *group {
+	g := &group{
+		t: t, replicas: map[replog.NodeID]*replica{}, cut: map[[2]replog.NodeID]bool{}, sent: map[replog.NodeID]int{},
+		adjust: adjust,
+	}
+	for id := range size {
+		g.bootIDs = append(g.bootIDs, replog.NodeID(id+1))
+	}
+	for _, id := range g.bootIDs {
+		g.start(id, vfstest.New())
+	}
+	t.Cleanup(g.stopAll)
+	return g
+}
+
+// start runs a replica on the given files. Replicas that are not in the first membership join without one.
+func (g *group) start(id replog.NodeID, fsys vfs.FS) {
+	g.t.Helper()
+	cfg := Config{ID: id, Dir: "data", FS: fsys, Rand: rand.New(rand.NewPCG(1, uint64(id))).IntN, DesiredVoters: g.bootIDs}
+	if slices.Contains(g.bootIDs, id) {
+		cfg.Bootstrap.Voters = g.bootIDs
+	}
+	if g.adjust != nil {
+		g.adjust(&cfg)
+	}
+	r := &replica{fs: fsys, sm: &record{}}
+	node, err := Start(cfg, r.sm, link{g, id})
+	if err != nil {
+		g.t.Fatalf("start replica %d: %v", id, err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.node = node
+	g.replicas[id] = r
+}
+
+// kill stops a replica and loses what it had not synced. Nobody receives what it sends while it stops.
+func (g *group) kill(id replog.NodeID) {
+	g.mu.Lock()
+	node := g.replicas[id].node
+	g.replicas[id].node = nil
+	g.mu.Unlock()
+	g.isolate(id, true)
+	_ = node.Stop() // a failed log reports its error again
+	g.isolate(id, false)
+	if fsys, ok := g.replicas[id].fs.(*vfstest.FS); ok {
+		fsys.Crash(vfstest.Crash{})
+	}
+}
+
+func (g *group) restart(id replog.NodeID) { g.t.Helper(); g.start(id, g.replicas[id].fs) }
+
+// forget removes a replica that was killed, with its files.
+func (g *group) forget(id replog.NodeID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.replicas, id)
+}
+
+func (g *group) stopAll() {
+	for _, id := range g.running() {
+		g.kill(id)
+	}
+}
+
+func (g *group) isolate(id replog.NodeID, cut bool) {
+	for other := range g.replicas {
+		g.cutLink(id, other, cut)
+		g.cutLink(other, id, cut)
+	}
+}
+
+func (g *group) cutLink(from, to replog.NodeID, cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut[[2]replog.NodeID{from, to}] = cut
+}
+
+func (g *group) node(id replog.NodeID) *Node { return g.replicas[id].node }
+
+func (g *group) running() []replog.NodeID {
+	var ids []replog.NodeID
+	for id, r := range g.replicas {
+		if r.node != nil {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// until lets the simulated time pass until the condition holds.
+func (g *group) until(limit time.Duration, what string, condition func() bool) {
+	g.t.Helper()
+	for deadline := time.Now().Add(limit); ; time.Sleep(DefaultTickInterval) {
+		synctest.Wait()
+		if condition() {
+			return
+		}
+		if time.Now().After(deadline) {
+			for _, id := range g.running() {
+				g.t.Logf("%+v", g.node(id).Status())
+			}
+			g.t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// leader waits for a replica that most recently became leader and can commit.
+func (g *group) leader() replog.NodeID {
+	g.t.Helper()
+	var leader replog.NodeID
+	g.until(5*time.Second, "a leader", func() bool {
+		leader = 0
+		term := uint64(0)
+		for _, id := range g.running() {
+			s := g.node(id).Status()
+			if s.Role == replog.RoleLeader && s.TermCommitted && s.Term > term {
+				leader, term = id, s.Term
+			}
+		}
+		return leader != 0
+	})
+	return leader
+}
+
+// propose commits commands at the leader, retrying what was not appended.
+func (g *group) propose(commands ...string) {
+	g.t.Helper()
+	for _, command := range commands {
+		result, err := g.node(g.leader()).Propose(g.t.Context(), []byte(command))
+		if err != nil || !strings.HasSuffix(string(result), " "+command) {
+			g.t.Fatalf("propose %s: result %q, error %v", command, result, err)
+		}
+	}
+}
+
+func numbered(prefix string, count int) []string {
+	commands := make([]string, count)
+	for i := range commands {
+		commands[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return commands
+}
+
+func (g *group) commands(id replog.NodeID) []string {
+	var commands []string
+	g.node(id).Query(func() { commands = slices.Clone(g.replicas[id].sm.commands) })
+	return commands
+}
+
+// converged waits until all running replicas have applied the same commands, and returns them.
+func (g *group) converged() []string {
+	g.t.Helper()
+	var first []string
+	g.until(10*time.Second, "equal state machines", func() bool {
+		ids := g.running()
+		first = g.commands(ids[0])
+		return !slices.ContainsFunc(ids, func(id replog.NodeID) bool { return !slices.Equal(g.commands(id), first) })
+	})
+	return first
+}
+
+func (g *group) change(kind replog.ChangeKind, id replog.NodeID) {
+	g.t.Helper()
+	change := replog.MembershipChange{Kind: kind, Node: id}
+	if err := g.node(g.leader()).ChangeMembership(g.t.Context(), change); err != nil {
+		g.t.Fatalf("change %+v: %v", change, err)
+	}
+}
+
+func (g *group) voters() []replog.NodeID { return g.node(g.leader()).Status().Membership.Voters }
+
+// outcomes proposes commands concurrently at one replica and returns the error of each.
+type outcomes struct {
+	mu      sync.Mutex
+	errs    map[string]error
+	waiting sync.WaitGroup
+}
+
+func (g *group) proposeAll(ctx context.Context, id replog.NodeID, commands []string) *outcomes {
+	o := &outcomes{errs: map[string]error{}}
+	node := g.node(id)
+	for _, command := range commands {
+		o.waiting.Go(func() {
+			result, err := node.Propose(ctx, []byte(command))
+			if err == nil && !strings.HasSuffix(string(result), " "+command) {
+				err = errors.New("result of another entry: " + string(result))
+			}
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.errs[command] = err
+		})
+	}
+	return o
+}
+
+// check waits for the outcomes and compares them with what was applied: a success is applied once, a command that was
+// refused is not applied, and no other error occurs.
+func (o *outcomes) check(t testing.TB, applied []string) (succeeded, unknown, refused int) {
+	t.Helper()
+	o.waiting.Wait()
+	times := map[string]int{}
+	for _, command := range applied {
+		times[command]++
+	}
+	for command, err := range o.errs {
+		switch {
+		case err == nil && times[command] == 1:
+			succeeded++
+		case errors.Is(err, ErrOutcomeUnknown) && !errors.Is(err, ErrNotLeader) && times[command] <= 1:
+			unknown++
+		case errors.Is(err, ErrNotLeader) && times[command] == 0:
+			refused++
+		default:
+			t.Errorf("%s: error %v, applied %d times", command, err, times[command])
+		}
+	}
+	return succeeded, unknown, refused
+}
+
+var smallLog = wal.Options{SegmentBytes: 4096}
--- /dev/null
+++ b/internal/controlnode/loop.go
@@ -0,0 +1,153 @@
+package controlnode
+
+import (
+	"errors"
+	"math"
+	"time"
+
+	"github.com/bramleypick/bramleypick/replog"
+)
+
+// run is the loop: it takes what has arrived, then persists and sends what follows from it.
+func (n *Node) run() {
+	ticker := time.NewTicker(n.cfg.TickInterval)
+	defer ticker.Stop()
+	var err error
+	for more := true; more && err == nil; {
+		more, err = n.iterate(ticker.C)
+	}
+	if err != nil {
+		n.fail(err)
+	}
+	n.reads.fail(ErrNotLeader)
+	close(n.applier.work)
+	<-n.applier.done
+	n.pending.abandon(0, math.MaxUint64)
+	close(n.stopped)
+}
+
+// iterate performs one iteration. It returns false if the replica was stopped, and an error if it must stop.
+func (n *Node) iterate(ticks <-chan time.Time) (more bool, err error) {
+	select {
+	case <-n.stopping:
+		return false, nil
+	default:
+	}
+	if !n.core.HasReady() {
+		if more, err := n.wait(ticks); !more || err != nil {
+			return more, err
+		}
+	}
+	// Everything that arrived during the last fsync shares the next one.
+	for range maxTaken {
+		taken, err := n.takeOne(ticks)
+		if err != nil {
+			return true, err
+		}
+		if !taken {
+			break
+		}
+	}
+	n.startRead()
+	if err := n.handleReady(); err != nil {
+		return true, err
+	}
+	n.observe()
+	return true, nil
+}
+
+// step passes a message to replog. Malformed messages are dropped.
+func (n *Node) step(m replog.Message) error {
+	err := n.core.Step(m)
+	if errors.Is(err, replog.ErrCorrupt) {
+		return err
+	}
+	if err != nil {
+		n.counters.invalidMessages.Add(1)
+	}
+	return nil
+}
+
+// handleReady performs the duties of a replog caller: persist, send, hand over for application, advance.
+func (n *Node) handleReady() error {
+	if !n.core.HasReady() {
+		return nil
+	}
+	r := n.core.Ready()
+	if r.Snapshot != nil {
+		if err := n.log.SaveSnapshot(*r.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := n.log.Save(r.HardState, r.Entries); err != nil {
+		return err
+	}
+	for _, m := range r.Messages {
+		n.transport.Send(m.To, m)
+	}
+	work := applyWork{restore: r.Snapshot, entries: r.Committed, reads: n.confirmReads(r.ReadStates)}
+	if !work.empty() {
+		select {
+		case n.applier.work <- work:
+		case <-n.stopping:
+			for _, read := range work.reads {
+				read.fail(ErrNotLeader)
+			}
+			return nil // the next iteration stops
+		}
+	}
+	n.core.Advance(r)
+	return nil
+}
+
+// startRead starts a confirmation for the waiting barriers, unless one is running.
+func (n *Node) startRead() {
+	token, ok := n.reads.start()
+	if !ok {
+		return
+	}
+	if err := n.core.ReadIndex(token); err != nil {
+		n.reads.fail(err)
+		return
+	}
+	n.counters.readRounds.Add(1)
+}
+
+func (n *Node) confirmReads(states []replog.ReadState) []confirmedRead {
+	var reads []confirmedRead
+	for _, state := range states {
+		if barriers := n.reads.confirmed(state.Token); len(barriers) > 0 {
+			reads = append(reads, confirmedRead{index: state.Index, barriers: barriers})
+		}
+	}
+	return reads
+}
+
+// observe publishes the status and reacts to a change of leadership and of the reachability of replicas.
+func (n *Node) observe() {
+	status := n.core.Status()
+	n.status.Store(&status)
+	leading := uint64(0)
+	if status.Role == replog.RoleLeader {
+		leading = status.Term
+	}
+	if leading != n.leading {
+		// Entries up to the commit index are decided: the applier answers their proposals.
+		n.pending.abandon(status.Commit+1, math.MaxUint64)
+		n.reads.fail(ErrNotLeader)
+		n.leading = leading
+	}
+	if change, ok := n.voters.next(status); ok {
+		if _, _, err := n.core.ProposeMembership(change); err == nil {
+			n.counters.voterChanges.Add(1)
+		}
+	}
+}
+
+// fail reports the first error that stops the replica.
+func (n *Node) fail(err error) {
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/controlnode/node.go
@@ -0,0 +1,199 @@
+package controlnode
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/wal"
+)
+
+// Capacities of the channels between callers, the loop and the applier. Proposals bound the size of one fsync; messages
+// beyond the capacity are dropped, which replog tolerates.
+const (
+	inboxCapacity    = 256
+	proposalCapacity = 1024
+	barrierCapacity  = 1024
+	applyCapacity    = 64
+)
+
+// StateMachine is what the group replicates. All calls are made by one goroutine at a time.
+type StateMachine interface {
+	// Apply applies a committed command and returns the result for its proposer. It must be deterministic and must not
+	// keep or change data.
+	Apply(index uint64, data []byte) []byte
+	// Snapshot returns the encoded state. An error delays compaction of the log until the next attempt.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by an encoded one. An error stops the replica.
+	Restore(data []byte) error
+}
+
+// Transport sends messages to other replicas.
+type Transport interface {
+	// Send never blocks, may drop the message, and must not change it.
+	Send(to replog.NodeID, m replog.Message)
+}
+
+// Node is a running replica. Its methods may be called concurrently.
+type Node struct {
+	cfg       Config
+	log       *wal.Log
+	core      *replog.Core // used by the loop only
+	transport Transport
+
+	inbox     chan replog.Message
+	proposals chan *proposal
+	barriers  chan *barrier
+	desired   chan []replog.NodeID // capacity 1: the newest set replaces a waiting one
+	snapshots *snapshotter
+	applier   *applier
+	pending   *pendingProposals
+	reads     readRounds
+	voters    votersPolicy
+	leading   uint64 // term in which this replica leads, 0 if it doesn't; used by the loop only
+
+	status   atomic.Pointer[replog.Status]
+	counters counters
+	failed   chan error
+	stopping chan struct{} // closed by Stop
+	loopDone chan struct{}
+	stopped  chan struct{} // closed once nothing more is applied
+	stop     sync.Once
+}
+
+// Start opens the data directory and runs the replica. A damaged directory is reported as a *wal.CorruptError or
+// replog.ErrCorrupt.
+func Start(cfg Config, sm StateMachine, t Transport) (*Node, error) {
+	cfg = cfg.withDefaults()
+	log, restored, err := wal.Open(cfg.FS, cfg.Dir, cfg.WAL)
+	if err != nil {
+		return nil, err
+	}
+	n, err := newNode(cfg, log, restored, sm, t)
+	if err != nil {
+		return nil, errors.Join(err, log.Close())
+	}
+	go n.runApplier()
+	go n.run()
+	return n, nil
+}
+
+func newNode(cfg Config, log *wal.Log, restored replog.Restored, sm StateMachine, t Transport) (*Node, error) {
+	bootstrap := cfg.Bootstrap.Contains(cfg.ID)
+	if bootstrap && restored.Snapshot.Index == 0 && len(restored.Entries) == 0 {
+		if err := saveBootstrap(&restored, cfg, log, sm); err != nil {
+			return nil, err
+		}
+	}
+	core, err := replog.New(replog.Config{
+		ID: cfg.ID, ElectionTicks: cfg.ElectionTicks, HeartbeatTicks: cfg.HeartbeatTicks, Rand: cfg.Rand,
+		MaxMessageBytes: cfg.MaxMessageBytes,
+	}, restored)
+	if err != nil {
+		return nil, err
+	}
+	if restored.Snapshot.Index > 0 {
+		if err := sm.Restore(restored.Snapshot.Data); err != nil {
+			return nil, err
+		}
+	}
+	n := &Node{
+		cfg: cfg, log: log, core: core, transport: t,
+		inbox:     make(chan replog.Message, inboxCapacity),
+		proposals: make(chan *proposal, proposalCapacity),
+		barriers:  make(chan *barrier, barrierCapacity),
+		desired:   make(chan []replog.NodeID, 1),
+		pending:   newPendingProposals(),
+		snapshots: newSnapshotter(cfg, log),
+		voters:    votersPolicy{demoteTicks: cfg.demoteTicks(), desired: slices.Clone(cfg.DesiredVoters)},
+		failed:    make(chan error, 1),
+		stopping:  make(chan struct{}),
+		loopDone:  make(chan struct{}),
+		stopped:   make(chan struct{}),
+	}
+	n.applier = newApplier(sm, restored.Snapshot.Index, n.pending, n.snapshots, &n.counters)
+	n.observe()
+	return n, nil
+}
+
+// saveBootstrap persists the bootstrap membership as the snapshot of index 1, so that later starts don't depend on the
+// configuration, and replicas that join receive it from the leader.
+func saveBootstrap(restored *replog.Restored, cfg Config, log *wal.Log, sm StateMachine) error {
+	data, err := sm.Snapshot()
+	if err != nil {
+		return err
+	}
+	s := replog.Snapshot{Index: 1, Term: 1, Membership: cfg.Bootstrap.Clone(), Data: data}
+	if err := log.SaveSnapshot(s); err != nil {
+		return err
+	}
+	restored.Snapshot = s
+	restored.HardState.Term = max(restored.HardState.Term, s.Term)
+	restored.HardState.Commit = max(restored.HardState.Commit, s.Index)
+	return nil
+}
+
+// Receive hands over a message of another replica. It never blocks: if the replica is too slow the message is dropped.
+func (n *Node) Receive(m replog.Message) {
+	select {
+	case n.inbox <- m:
+	default:
+		n.counters.droppedMessages.Add(1)
+	}
+}
+
+// Status returns the state of the replica after its last step.
+func (n *Node) Status() replog.Status { return *n.status.Load() }
+
+// Failed delivers the error after which the replica stopped by itself: a failed write or fsync, or corrupt state. The
+// process must stop.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// Query runs f on the applier's goroutine, between two Apply calls, and returns once it has run. On a stopped Node f runs
+// on the calling goroutine.
+func (n *Node) Query(f func()) { n.applier.query(f) }
+
+// SetDesiredVoters replaces Config.DesiredVoters, for instance by a set without the replicas of a zone that is stopped,
+// which must not be promoted again after they were demoted.
+func (n *Node) SetDesiredVoters(ids []replog.NodeID) {
+	ids = slices.Clone(ids)
+	for {
+		select {
+		case n.desired <- ids:
+			return
+		case <-n.stopped:
+			return
+		default:
+		}
+		select {
+		case <-n.desired:
+		default:
+		}
+	}
+}
+
+// Stop ends the replica, waits for its goroutines and closes the log. Commands appended but not applied have an unknown
+// outcome.
+func (n *Node) Stop() error {
+	n.stop.Do(func() { close(n.stopping) })
+	<-n.stopped
+	n.snapshots.wait()
+	return n.log.Close()
+}
+
+// Propose appends a command to the log and returns the state machine's result for it. The caller must not change data
+// afterwards. Errors: ErrNotLeader if the command was not appended; ErrOutcomeUnknown if leadership was lost, ctx ended
+// or the replica stopped after it was appended; replog.ErrTooLarge.
+func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	return n.submit(ctx, &proposal{data: data, done: make(chan outcome, 1)})
+}
+
+// ChangeMembership appends a membership change and returns once it is committed. Errors as of Propose, and those of
+// replog's ProposeMembership.
+func (n *Node) ChangeMembership(ctx context.Context, c replog.MembershipChange) error {
+	_, err := n.submit(ctx, &proposal{change: &c, done: make(chan outcome, 1)})
+	return err
+}
