--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/admission"
+	"github.com/bramleypick/bramleypick/internal/upstreamconn"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -91,6 +92,10 @@
 		a.end(admission.NotSent)
 		return nil
 	}
+	if errors.Is(err, upstreamconn.ErrMaxConnections) || errors.Is(err, upstreamconn.ErrClosed) {
+		a.elsewhere() // A limit of this gateway, not a fault of the upstream.
+		return nil
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		a.service.reportSuspect(a.service.guard.Refused(a.upstream.ID, time.Now()))
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/crashguard"
+	"github.com/bramleypick/bramleypick/internal/upstreamconn"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -46,6 +47,6 @@
 
 // isCut tells whether an exchange ended because its connection was reset or closed.
 func isCut(err error) bool {
-	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) ||
+	return errors.Is(err, upstreamconn.ErrCut) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) ||
 		errors.Is(err, io.ErrUnexpectedEOF)
 }
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -18,7 +18,7 @@
 		if key == "" {
 			return resultcode.Errorf(resultcode.IdempotencyKeyRequired, "class %s requires %s", c.class.Name, headerKey)
 		}
-		if !validID(key) {
+		if !validID(key, maxIDLength) {
 			return resultcode.Errorf(resultcode.MalformedRequest, "%s must be at most %d printable ASCII characters", headerKey, maxIDLength)
 		}
 		claim := &claimRequest{key: controlstate.ClaimKey{Service: c.service.config.Name, Tenant: c.tenant, Key: key}}
--- a/internal/gateway/requestid.go
+++ b/internal/gateway/requestid.go
@@ -6,8 +6,12 @@
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
-// maxIDLength bounds request ids and idempotency keys, in bytes.
-const maxIDLength = 128
+const (
+	// maxIDLength bounds idempotency keys and the request ids of peers, in bytes.
+	maxIDLength = 128
+	// maxCallerID bounds the request ids of callers: this gateway and a peer each append to them.
+	maxCallerID = 64
+)
 
 // identified takes the caller's request id or makes one, and returns it with the answer.
 func (g *Gateway) identified(next handler) handler {
@@ -16,10 +20,15 @@
 		if c.requestID == "" {
 			c.requestID = strconv.FormatUint(g.ids.Add(1), 16)
 		}
-		if !validID(c.requestID) {
-			return resultcode.Errorf(resultcode.MalformedRequest, "%s must be at most %d printable ASCII characters", headerRequestID, maxIDLength)
-		}
 		c.forwarded = c.r.Header.Get(headerHop) != ""
+		limit := maxCallerID
+		if c.forwarded {
+			limit = maxIDLength
+		}
+		if !validID(c.requestID, limit) {
+			c.requestID = ""
+			return resultcode.Errorf(resultcode.MalformedRequest, "%s must be at most %d printable ASCII characters", headerRequestID, limit)
+		}
 		c.w.Header().Set(headerRequestID, c.requestID)
 		return next(c)
 	}
@@ -31,11 +40,11 @@
 	return c.requestID + "-" + strconv.FormatUint(g.ids.Add(1), 16)
 }
 
-func validID(id string) bool {
+func validID(id string, limit int) bool {
 	for i := range len(id) {
 		if id[i] <= ' ' || id[i] > '~' {
 			return false
 		}
 	}
-	return id != "" && len(id) <= maxIDLength
+	return id != "" && len(id) <= limit
 }
