replog: let a leader that demoted itself stand for election again

A random schedule found a group that could not elect a leader: the leader appended its own demotion, crashed before the entry spread, and came back with the longest log. It refused to stand because it was no voter, and the remaining voter could not win without its vote.

--- a/replog/election.go
+++ b/replog/election.go
@@ -34,7 +34,7 @@
 // startElection asks for votes. A pre-vote finds out first whether the election can succeed, so that a replica that was
 // cut off does not raise the term. A leadership transfer skips it.
 func (c *Core) startElection(preVote, transfer bool) {
-	if !c.isVoter() {
+	if !c.mayLead() {
 		c.electionElapsed = 0
 		c.leader = 0
 		return
@@ -58,6 +58,14 @@
 	c.countVotes()
 }
 
+// mayLead tells whether the replica is a voter, or was one before a change that is not known to be committed. In the second
+// case its log may be the only one that is up to date for a majority of the previous voters; it leads without a vote of
+// its own until the change is committed.
+func (c *Core) mayLead() bool {
+	now := c.history.current()
+	return c.isVoter() || now.index > c.log.commit && c.history.at(now.index-1).IsVoter(c.cfg.ID)
+}
+
 // countVotes goes on with the election once a majority has granted its votes.
 func (c *Core) countVotes() {
 	if !hasQuorum(c.membership().Voters, func(id NodeID) bool { return c.votes[id] }) {
