--- a/replog/compact.go
+++ b/replog/compact.go
@@ -3,14 +3,20 @@
 import "fmt"
 
 // SnapshotAt returns a snapshot of the state machine's data after index was applied, with the term and the membership of
-// that index. It changes nothing. It returns ErrInvalidSnapshot if the index is not applied or already compacted.
+// that index. It changes nothing. It returns ErrInvalidSnapshot if the index is not applied, already compacted, or, on a
+// replica that joined without a bootstrap, before the first membership entry.
 func (c *Core) SnapshotAt(index uint64, data []byte) (Snapshot, error) {
 	term, ok := c.log.term(index)
 	if !ok || index > c.log.applied || index <= c.log.snapshot.Index {
 		return Snapshot{}, fmt.Errorf("%w: index %d, compacted up to %d, applied up to %d", ErrInvalidSnapshot, index,
 			c.log.snapshot.Index, c.log.applied)
 	}
-	return Snapshot{Index: index, Term: term, Membership: c.history.at(index).Clone(), Data: data}, nil
+	membership := c.history.at(index).Clone()
+	if len(membership.Voters) == 0 {
+		// A replica that joined without a bootstrap knows no membership before the first entry that carries one.
+		return Snapshot{}, fmt.Errorf("%w: membership at index %d is unknown", ErrInvalidSnapshot, index)
+	}
+	return Snapshot{Index: index, Term: term, Membership: membership, Data: data}, nil
 }
 
 // Compact drops the log up to snapshot.Index and keeps the snapshot in memory for followers that are behind. The caller
