--- /dev/null
+++ b/internal/peernet/network_test.go
@@ -0,0 +1,161 @@
+package peernet_test
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/keys"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+)
+
+const loopback = "127.0.0.1:0"
+
+// testTimeout bounds each exchange; it is far above what loopback needs.
+const testTimeout = 20 * time.Second
+
+type echoHandler struct {
+	messages chan string
+}
+
+func (h echoHandler) HandleMessage(from string, data []byte) { h.messages <- from + ":" + string(data) }
+
+func (h echoHandler) HandleCall(_ context.Context, from string, data []byte) ([]byte, error) {
+	if string(data) == "fail" {
+		return nil, errors.New("failed on request")
+	}
+	return []byte(from + ":" + string(data)), nil
+}
+
+func (h echoHandler) HandleStream(_ context.Context, _ string, s peernet.Stream) {
+	_, _ = io.Copy(s, s)
+	s.Close()
+}
+
+// authority issues certificates of one CA.
+type authority struct {
+	t   *testing.T
+	dir string
+	ca  *keys.Authority
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	ca, err := keys.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := authority{t: t, dir: t.TempDir(), ca: ca}
+	if err := ca.Save(a.file("ca.crt"), a.file("ca.key")); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func (a authority) file(name string) string { return filepath.Join(a.dir, name) }
+
+func (a authority) tls(name string) *tls.Config {
+	a.t.Helper()
+	pair, err := a.ca.Issue(name, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	if err := pair.Save(a.file(name+".crt"), a.file(name+".key")); err != nil {
+		a.t.Fatal(err)
+	}
+	config, err := keys.Load(a.file("ca.crt"), a.file(name+".crt"), a.file(name+".key"), nil)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return config
+}
+
+func listen(t *testing.T, name string, config *tls.Config, peers map[string]string) (*peernet.Network, chan string) {
+	t.Helper()
+	messages := make(chan string, 100)
+	n, err := peernet.Listen(peernet.Config{Name: name, Address: loopback, TLS: config, Peers: peers, Log: zap.NewNop()}, echoHandler{messages})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { n.Close() })
+	return n, messages
+}
+
+// Guards against an exchange that loses or alters data, or hides the peer's error.
+func TestNetworkExchanges(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a := newAuthority(t)
+	server, messages := listen(t, "vm1", a.tls("vm1"), map[string]string{"vm2": loopback})
+	client, _ := listen(t, "vm2", a.tls("vm2"), map[string]string{"vm1": server.Address()})
+
+	response, err := client.Call(ctx, "vm1", []byte("ping"))
+	is.NoErr(err)
+	is.Equal(string(response), "vm2:ping")
+
+	_, err = client.Call(ctx, "vm1", []byte("fail"))
+	var remote *peernet.RemoteError
+	is.True(errors.As(err, &remote))
+	is.Equal(remote.Message, "failed on request")
+
+	client.Send("vm1", []byte("one"))
+	client.Send("vm1", []byte("two"))
+	is.Equal(<-messages, "vm2:one")
+	is.Equal(<-messages, "vm2:two")
+
+	s, err := client.OpenStream(ctx, "vm1")
+	is.NoErr(err)
+	_, err = s.Write([]byte("body"))
+	is.NoErr(err)
+	is.NoErr(s.Close())
+	echoed, err := io.ReadAll(s)
+	is.NoErr(err)
+	is.Equal(string(echoed), "body")
+
+	// The server has no working address of the client: it must use the client's connection.
+	response, err = server.Call(ctx, "vm2", []byte("back"))
+	is.NoErr(err)
+	is.Equal(string(response), "vm1:back")
+}
+
+// Guards against a process that takes part without a certificate of the group's CA, or under a name of another VM.
+func TestNetworkRefusesPeers(t *testing.T) {
+	a, foreign := newAuthority(t), newAuthority(t)
+	withoutCertificate := a.tls("vm2").Clone()
+	withoutCertificate.Certificates = nil
+	for _, test := range []struct {
+		description string
+		config      *tls.Config
+		peer        string // name under which the client knows the server
+	}{
+		{"certificate of another CA", foreign.tls("vm2"), "vm1"},
+		{"no certificate", withoutCertificate, "vm1"},
+		{"name that the server does not know", a.tls("vm9"), "vm1"},
+		{"server has another name than configured", a.tls("vm2"), "vm3"},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			server, _ := listen(t, "vm1", a.tls("vm1"), map[string]string{"vm2": loopback})
+			// A listener needs a certificate of its own even where the client sends none.
+			config := test.config
+			if len(config.Certificates) == 0 {
+				config = config.Clone()
+				config.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return nil, errors.New("none") }
+			}
+			client, _ := listen(t, "vm2", config, map[string]string{test.peer: server.Address()})
+			if response, err := client.Call(ctx, test.peer, []byte("ping")); err == nil {
+				t.Fatalf("the call was answered with %q", response)
+			}
+		})
+	}
+}
