controlstate: edit planned stops as a command of its own

A stop used to be a read-modify-write of the whole configuration at an entry VM. A resend after a lost answer then got a new base version, so it could repeat a stop that another operator had undone, and two operators who stopped different zones conflicted. The new command is applied to whatever version is current and is deduplicated by its change id.

--- a/controlstate/applyconfig.go
+++ b/controlstate/applyconfig.go
@@ -30,11 +30,7 @@
 	r := Result{Code: resultcode.VersionConflict, Message: "the base version is not the current version"}
 	if c.BaseVersion == s.configVersion {
 		r = Result{}
-		m.noteHorizons(&config)
-		s.config, s.configJSON, s.configDigest = config, canonical, digest
-		s.configVersion++
-		m.removeOrphans()
-		m.changed()
+		m.acceptConfig(config, canonical)
 	}
 	record := &changeRecord{
 		ID: c.ChangeID, AtUnixMilli: s.now, BaseVersion: c.BaseVersion, Digest: digest,
@@ -44,6 +40,16 @@
 	return record.result()
 }
 
+// acceptConfig puts a valid configuration in force under the next version.
+func (m *Machine) acceptConfig(config dynconfig.Config, canonical []byte) {
+	s := &m.state
+	m.noteHorizons(&config)
+	s.config, s.configJSON, s.configDigest = config, canonical, dynconfig.Digest(canonical)
+	s.configVersion++
+	m.removeOrphans()
+	m.changed()
+}
+
 func (m *Machine) configResult(code resultcode.Code, message string) Result {
 	return Result{Code: code, Message: message, ConfigVersion: m.state.configVersion, ConfigDigest: m.state.configDigest}
 }
--- a/controlstate/command.go
+++ b/controlstate/command.go
@@ -19,6 +19,7 @@
 	KindFinishClaim
 	KindReleaseClaim
 	KindReportCrash
+	KindEditStop
 )
 
 // Command is one change of the replicated state. Exactly the field named by Kind is set.
@@ -38,6 +39,7 @@
 	FinishClaim      *FinishClaim      `cbor:"12,keyasint,omitempty"`
 	ReleaseClaim     *ReleaseClaim     `cbor:"13,keyasint,omitempty"`
 	ReportCrash      *ReportCrash      `cbor:"14,keyasint,omitempty"`
+	EditStop         *EditStop         `cbor:"15,keyasint,omitempty"`
 }
 
 // check tells whether exactly the field that Kind names is set.
@@ -45,7 +47,7 @@
 	set := []bool{
 		c.ApplyConfig != nil, c.OpenSession != nil, c.LeaveSession != nil, c.ExpireSession != nil,
 		c.RegisterUpstream != nil, c.RemoveUpstream != nil, c.Assign != nil, c.Release != nil,
-		c.BeginClaim != nil, c.FinishClaim != nil, c.ReleaseClaim != nil, c.ReportCrash != nil,
+		c.BeginClaim != nil, c.FinishClaim != nil, c.ReleaseClaim != nil, c.ReportCrash != nil, c.EditStop != nil,
 	}
 	if c.Kind < KindApplyConfig || int(c.Kind) > len(set) {
 		return errors.Errorf("the command has the unknown kind %d", c.Kind)
--- a/controlstate/machine.go
+++ b/controlstate/machine.go
@@ -115,8 +115,10 @@
 		return m.finishClaim(c.FinishClaim)
 	case KindReleaseClaim:
 		return m.releaseClaim(c.ReleaseClaim)
-	default: // KindReportCrash; DecodeCommand refuses other kinds.
+	case KindReportCrash:
 		return m.reportCrash(c.ReportCrash)
+	default: // KindEditStop; DecodeCommand refuses other kinds.
+		return m.editStop(c.EditStop)
 	}
 }
 
--- a/internal/controlproto/codec.go
+++ b/internal/controlproto/codec.go
@@ -14,7 +14,13 @@
 var decMode = mustDecMode()
 
 func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxNestedLevels: maxNesting, MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		// A recorded response's header values may hold bytes that are not UTF-8.
+		UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,9 +12,6 @@
 	"github.com/bramleypick/bramleypick/internal/peernet"
 )
 
-// forwardWriteTimeout bounds the writing of a forwarded request whose context has no deadline.
-const forwardWriteTimeout = 10 * time.Second
-
 // forwarder sends requests to peer gateways, one QUIC stream for each, in HTTP/1.1 as net/http writes it.
 type forwarder struct {
 	network *peernet.Network
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bramleypick/bramleypick/controlstate"
@@ -18,12 +16,8 @@
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
-const (
-	// changeTimeout bounds an operator's change. It outlasts an election.
-	changeTimeout = 5 * time.Second
-	// stopAttempts bounds the tries of a planned stop whose base version was overtaken by another change.
-	stopAttempts = 8
-)
+// changeTimeout bounds an operator's change. It outlasts an election.
+const changeTimeout = 5 * time.Second
 
 // operators serves the operator API.
 type operators struct {
@@ -44,23 +38,21 @@
 	} else if v := o.view(); v != nil {
 		base = v.ConfigVersion
 	}
-	return o.submit(ctx, config, base, change.ChangeID)
-}
-
-func (o operators) submit(ctx context.Context, config dynconfig.Config, base uint64, changeID string) (api.Accepted, error) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
 	encoded, err := dynconfig.Canonical(config)
 	if err != nil {
 		return api.Accepted{}, resultcode.Errorf(resultcode.InvalidConfiguration, "%v", err)
 	}
-	if changeID == "" {
-		changeID = rand.Text()
-	}
-	result, err := o.client.Submit(ctx, controlstate.Command{
+	return o.commit(ctx, controlstate.Command{
 		Kind:        controlstate.KindApplyConfig,
-		ApplyConfig: &controlstate.ApplyConfig{BaseVersion: base, ChangeID: changeID, JSON: encoded},
+		ApplyConfig: &controlstate.ApplyConfig{BaseVersion: base, ChangeID: changeIDOrRandom(change.ChangeID), JSON: encoded},
 	})
+}
+
+// commit submits a change of the configuration and translates its result.
+func (o operators) commit(ctx context.Context, command controlstate.Command) (api.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	result, err := o.client.Submit(ctx, command)
 	if err != nil {
 		return api.Accepted{}, err
 	}
@@ -74,62 +66,29 @@
 
 // Stop adds a planned stop to the configuration.
 func (o operators) Stop(ctx context.Context, change api.StopChange) (api.Accepted, error) {
-	return o.editStops(ctx, change, func(stops []dynconfig.Stop) []dynconfig.Stop {
-		if slices.Contains(stops, change.Stop) {
-			return stops
-		}
-		return append(stops, change.Stop)
-	})
+	return o.editStop(ctx, change, false)
 }
 
 // Return removes a planned stop from the configuration.
 func (o operators) Return(ctx context.Context, change api.StopChange) (api.Accepted, error) {
-	return o.editStops(ctx, change, func(stops []dynconfig.Stop) []dynconfig.Stop {
-		return slices.DeleteFunc(stops, func(s dynconfig.Stop) bool { return s == change.Stop })
-	})
+	return o.editStop(ctx, change, true)
 }
 
-// editStops changes the stops of the current configuration, and starts again when another change came in between. The
-// change id is used with the first base version only; a later try is a different change.
-func (o operators) editStops(ctx context.Context, change api.StopChange, edit func([]dynconfig.Stop) []dynconfig.Stop) (api.Accepted, error) {
+func (o operators) editStop(ctx context.Context, change api.StopChange, remove bool) (api.Accepted, error) {
 	if err := o.checkStop(change.Stop); err != nil {
 		return api.Accepted{}, err
 	}
-	base := uint64(0)
-	for range stopAttempts {
-		view, err := o.viewFrom(ctx, base)
-		if err != nil {
-			return api.Accepted{}, err
-		}
-		config := view.Config
-		config.Stops = edit(slices.Clone(config.Stops))
-		accepted, err := o.submit(ctx, config, view.ConfigVersion, "")
-		var refusal *api.Refusal
-		if errors.As(err, &refusal) && refusal.Code == resultcode.VersionConflict {
-			base = refusal.ConfigVersion
-			continue
-		}
-		return accepted, err
-	}
-	return api.Accepted{}, resultcode.Errorf(resultcode.VersionConflict, "other changes came in between %d times", stopAttempts)
+	return o.commit(ctx, controlstate.Command{
+		Kind:     controlstate.KindEditStop,
+		EditStop: &controlstate.EditStop{ChangeID: changeIDOrRandom(change.ChangeID), Stop: change.Stop, Remove: remove},
+	})
 }
 
-// viewFrom waits for a view whose configuration has at least the given version.
-func (o operators) viewFrom(ctx context.Context, version uint64) (*controlstate.View, error) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for {
-		if v := o.view(); v != nil && v.ConfigVersion >= version {
-			return v, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, resultcode.Errorf(resultcode.ControlUnavailable, "no current view of the configuration")
-		case <-ticker.C:
-		}
+func changeIDOrRandom(id string) string {
+	if id == "" {
+		return rand.Text()
 	}
+	return id
 }
 
 func (o operators) checkStop(stop dynconfig.Stop) error {
