--- /dev/null
+++ b/controlstate/upstreams_test.go
@@ -0,0 +1,200 @@
+package controlstate_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// Guards against one upstream taking over the id or address of another, and against senseless registrations.
+func TestRegisterUpstream(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		change      func(*controlstate.RegisterUpstream)
+		code        resultcode.Code
+	}{
+		{"renewal", func(u *controlstate.RegisterUpstream) {}, resultcode.OK},
+		{"new boot id", func(u *controlstate.RegisterUpstream) { u.BootID = "boot-2" }, resultcode.OK},
+		{"second upstream", func(u *controlstate.RegisterUpstream) { u.ID, u.Address = "other", "10.1.0.9:80" }, resultcode.OK},
+		{"IPv6", func(u *controlstate.RegisterUpstream) { u.ID, u.Address = "other", "[fd00::1]:80" }, resultcode.OK},
+		{"id of another address", func(u *controlstate.RegisterUpstream) { u.Address = "10.1.0.9:80" }, resultcode.UpstreamAddressInUse},
+		{"address of another id", func(u *controlstate.RegisterUpstream) { u.ID = "other" }, resultcode.UpstreamAddressInUse},
+		{"id of another service", func(u *controlstate.RegisterUpstream) { u.Service = "lookup" }, resultcode.UpstreamAddressInUse},
+		{"unknown service", func(u *controlstate.RegisterUpstream) { u.Service = "x" }, resultcode.UnknownService},
+		{"unknown zone", func(u *controlstate.RegisterUpstream) { u.Zone = "x" }, resultcode.UnknownZone},
+		{"unsafe id", func(u *controlstate.RegisterUpstream) { u.ID = "../x" }, resultcode.MalformedRequest},
+		{"no boot id", func(u *controlstate.RegisterUpstream) { u.BootID = "" }, resultcode.MalformedRequest},
+		{"host name", func(u *controlstate.RegisterUpstream) { u.Address = "host:80" }, resultcode.MalformedRequest},
+		{"no port", func(u *controlstate.RegisterUpstream) { u.Address = "10.1.0.1:0" }, resultcode.MalformedRequest},
+		{"second spelling", func(u *controlstate.RegisterUpstream) { u.Address = "[::ffff:10.1.0.1]:8080" }, resultcode.MalformedRequest},
+		{"no slots", func(u *controlstate.RegisterUpstream) { u.Slots = 0 }, resultcode.MalformedRequest},
+		{"too many slots", func(u *controlstate.RegisterUpstream) { u.Slots = 10_001 }, resultcode.MalformedRequest},
+		{"no connections", func(u *controlstate.RegisterUpstream) { u.MaxConnections = 0 }, resultcode.MalformedRequest},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			r, before := ready(t, controlstate.Options{})
+			view := r.m.View()
+			c := upstream("dispatch", "a", 0)
+			test.change(&c)
+			for range 2 {
+				r.is.Equal(r.do(c).Code, test.code)
+			}
+			if after := r.m.View().Upstream(before.ID); test.code != resultcode.OK || c == upstream("dispatch", "a", 0) {
+				r.is.True(r.m.View() == view) // nothing visible changed
+			} else if c.ID == before.ID {
+				before.BootID = c.BootID
+				r.is.Equal(*after, before) // owner and epoch stay
+			}
+		})
+	}
+}
+
+// Guards against a service that announces without bound, and a record whose place is not freed.
+func TestUpstreamLimit(t *testing.T) {
+	r, first := ready(t, controlstate.Options{})
+	for i := 1; i < 20; i++ {
+		r.ok(upstream("dispatch", "a", i))
+	}
+	r.is.Equal(r.do(upstream("dispatch", "a", 20)).Code, resultcode.UpstreamLimit)
+	r.ok(upstream("dispatch", "a", 3))
+	r.is.Equal(r.do(controlstate.RemoveUpstream{ID: first.ID, BootID: "boot-0", SessionID: first.Owner}).Code, resultcode.StaleEpoch)
+	r.is.Equal(r.do(controlstate.RemoveUpstream{ID: first.ID, BootID: "boot-1", SessionID: 999}).Code, resultcode.UnknownSession)
+	r.ok(controlstate.RemoveUpstream{ID: first.ID, BootID: "boot-1", SessionID: first.Owner})
+	r.is.Equal(r.do(controlstate.RemoveUpstream{ID: first.ID, BootID: "boot-1", SessionID: first.Owner}).Code, resultcode.UnknownUpstream)
+	r.is.True(r.ok(upstream("dispatch", "a", 20)).Epoch > first.Epoch)
+}
+
+// Guards against an upstream with two owners, or one that is handed to a session that cannot use it.
+func TestHandOver(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		during      func(r *replica, next uint64) // Between Assign and Release.
+		handed      bool
+	}{
+		{"to a live session", func(*replica, uint64) {}, true},
+		{"to a leaving session", func(r *replica, next uint64) { r.ok(controlstate.LeaveSession{SessionID: next}) }, false},
+		{"to an expired session", func(r *replica, next uint64) { r.ok(controlstate.ExpireSession{SessionID: next}) }, false},
+		{"cancelled", func(r *replica, next uint64) {
+			u := r.m.View().Upstreams[0]
+			r.ok(controlstate.Assign{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner})
+		}, false},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			r, u := ready(t, controlstate.Options{})
+			next := r.open("gw-b", "b")
+			assign := controlstate.Assign{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: next}
+			r.is.Equal(r.do(controlstate.Assign{UpstreamID: u.ID, Epoch: u.Epoch - 7, SessionID: next}).Code, resultcode.StaleEpoch)
+			r.ok(assign)
+			r.ok(assign)
+			r.is.Equal(r.m.View().Upstreams[0].Owner, u.Owner) // the owner keeps it until it releases
+			r.is.Equal(r.m.View().Upstreams[0].MovingTo, next)
+			r.is.Equal(len(r.m.PlanAssignments()), 0) // none while a hand-over is under way
+			test.during(r, next)
+			release := controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner, Remaining: 2}
+			r.is.Equal(r.do(controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: next}).Code != resultcode.OK, true)
+			r.ok(release)
+			r.is.Equal(r.do(release).Code, resultcode.StaleEpoch) // the second one changes nothing
+			want := u
+			want.Owner, want.Epoch, want.Remaining = 0, u.Epoch+1, 2
+			if test.handed {
+				want.Owner = next
+			}
+			r.is.Equal(r.m.View().Upstreams[0], want)
+		})
+	}
+}
+
+// Guards against a session that acts after its lease expired.
+func TestExpiredSessionIsPowerless(t *testing.T) {
+	r, u := ready(t, controlstate.Options{})
+	begin := beginClaim(r, u, "key", "attempt-1")
+	id := r.ok(begin).ClaimID
+	r.ok(controlstate.ExpireSession{SessionID: u.Owner})
+	r.is.Equal(r.do(controlstate.ExpireSession{SessionID: u.Owner}).Code, resultcode.UnknownSession)
+	r.is.Equal(r.do(openSession("gw-a", "a")).Code, resultcode.UnknownSession) // a late copy opens no second session
+	answer := &controlstate.Answer{Status: 200}
+	for _, body := range []any{
+		controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner},
+		controlstate.RemoveUpstream{ID: u.ID, BootID: u.BootID, SessionID: u.Owner},
+		begin,
+		controlstate.FinishClaim{Key: begin.Key, ClaimID: id, Answer: answer},
+		controlstate.ReleaseClaim{Key: begin.Key, ClaimID: id},
+		controlstate.LeaveSession{SessionID: u.Owner},
+		controlstate.Assign{UpstreamID: u.ID, Epoch: u.Epoch + 1, SessionID: u.Owner},
+	} {
+		if r.do(body).Code == resultcode.OK {
+			t.Errorf("%T by or to an expired session was accepted", body)
+		}
+	}
+	want := u
+	want.Owner, want.Epoch, want.OwnerLost = 0, u.Epoch+1, true
+	r.is.Equal(r.m.View().Upstreams[0], want)
+	r.is.Equal(r.m.Counts().Claims.OutcomeUnknown, 1)
+}
+
+// Guards against upstreams of a removed service that stay for ever, or vanish under their owner.
+func TestRemovedService(t *testing.T) {
+	r, u := ready(t, controlstate.Options{})
+	r.ok(upstream("lookup", "b", 1))
+	config := testConfig()
+	config.Services = config.Services[:0]
+	r.configure(config)
+	r.is.Equal(len(r.m.View().Upstreams), 1) // the owned one stays
+	r.is.Equal(len(r.m.PlanAssignments()), 0)
+	r.ok(controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner})
+	r.is.Equal(len(r.m.View().Upstreams), 0)
+	r.configure(testConfig())
+	r.ok(upstream("dispatch", "c", 0)) // id and address are free
+}
+
+// Guards against plans that leave upstreams without owner, use gateways that must not serve, or lose the balance.
+func TestPlanAssignments(t *testing.T) {
+	is := is.New(t)
+	r := newReplica(t, controlstate.Options{})
+	r.configure(testConfig())
+	sessions := make(map[string]uint64)
+	for i := range 12 {
+		zone := "abc"[i%3 : i%3+1]
+		name := fmt.Sprintf("gw-%s-%d", zone, i)
+		sessions[name] = r.open(name, zone)
+		r.ok(upstream("dispatch", zone, i))
+	}
+	check := func(gateways int, usable func(s controlstate.SessionInfo) bool) {
+		t.Helper()
+		r.settle()
+		serving := controlstate.GatewaysFor(r.m.View(), "dispatch")
+		is.Equal(len(serving), gateways)
+		owned := make(map[uint64]int)
+		for _, u := range r.m.View().Upstreams {
+			owned[u.Owner]++
+		}
+		total := 0
+		for _, s := range serving {
+			is.True(usable(s))
+			total += owned[s.SessionID]
+			is.True(owned[s.SessionID] <= (12+gateways-1)/gateways+1)
+		}
+		is.Equal(total, 12) // every upstream is owned by a serving gateway
+	}
+	anyGateway := func(controlstate.SessionInfo) bool { return true }
+	check(6, anyGateway)
+	leaving := controlstate.GatewaysFor(r.m.View(), "dispatch")[0]
+	r.ok(controlstate.LeaveSession{SessionID: leaving.SessionID})
+	check(6, func(s controlstate.SessionInfo) bool { return s.SessionID != leaving.SessionID })
+	r.configure(testConfig(dynconfig.Stop{Zone: "b"}))
+	check(4, func(s controlstate.SessionInfo) bool { return s.Zone != "b" })
+	r.configure(testConfig())
+	check(6, anyGateway)
+	// A restarted gateway serves with its new session while the old one has not expired.
+	restarted := controlstate.GatewaysFor(r.m.View(), "dispatch")[0]
+	again := openSession(restarted.Gateway, restarted.Zone)
+	again.OpenID = "second"
+	is.Equal(r.ok(again).SessionID, r.ok(again).SessionID)
+	check(6, func(s controlstate.SessionInfo) bool { return s.SessionID != restarted.SessionID })
+	is.Equal(controlstate.GatewaysFor(r.m.View(), "nothing"), nil)
+}
