--- a/controlstate/harness_test.go
+++ b/controlstate/harness_test.go
@@ -58,6 +58,8 @@
 		c.Kind, c.ReleaseClaim = controlstate.KindReleaseClaim, &b
 	case controlstate.ReportCrash:
 		c.Kind, c.ReportCrash = controlstate.KindReportCrash, &b
+	case controlstate.EditStop:
+		c.Kind, c.EditStop = controlstate.KindEditStop, &b
 	}
 	return c
 }
