gateway: add fault tables for the invariants, check peers' responses

A response that a peer gateway passes on gets the same checks as one of an upstream: the tables found that a short body, a missing length and an interim status were passed through.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,8 +31,10 @@
 	guarded bool
 	reused  bool
 	ended   bool
-	latency time.Duration
-	report  admission.Report
+	// fromPeer is true for the response to a forwarded request. The peer holds the slot.
+	fromPeer bool
+	latency  time.Duration
+	report   admission.Report
 
 	// resp is the response; complete is true where small holds its whole body.
 	resp     *http.Response
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -109,6 +109,9 @@
 		return
 	case length < 0 || length > maxSmall:
 		a.resp = resp
+		if a.fromPeer {
+			return
+		}
 		a.service.send(event{kind: eventResponded, assignment: a.assignment, outcome: admission.Outcome{
 			Latency: a.latency, Report: a.report,
 		}})
--- /dev/null
+++ b/internal/gateway/fakes_test.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// fakeLease is a lease that tests end and renew.
+type fakeLease struct {
+	lost    atomic.Bool
+	session atomic.Uint64
+}
+
+func (l *fakeLease) Valid(time.Time) bool { return !l.lost.Load() }
+func (l *fakeLease) SessionID() uint64    { return l.session.Load() }
+
+// fakeClaims holds claims as the control group does.
+type fakeClaims struct {
+	mu     sync.Mutex
+	claims map[controlstate.ClaimKey]*fakeClaim
+	nextID uint64
+	// lostResults is how many results of Begin get lost after the command took effect; down means that nothing works.
+	lostResults int
+	down        bool
+	// onBegin runs after each granted claim, outside the lock.
+	onBegin  func()
+	finished []controlstate.FinishClaim
+}
+
+type fakeClaim struct {
+	id      uint64
+	attempt string
+	digest  string
+	done    bool
+	answer  *controlstate.Answer
+}
+
+var errLost = errors.New("result lost")
+
+func (f *fakeClaims) Begin(_ context.Context, c controlstate.BeginClaim) (controlstate.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return controlstate.Result{}, errLost
+	}
+	result := f.begin(c)
+	if f.lostResults > 0 {
+		f.lostResults--
+		return controlstate.Result{}, errLost
+	}
+	if f.onBegin != nil && result.Code == resultcode.OK {
+		f.mu.Unlock()
+		f.onBegin()
+		f.mu.Lock()
+	}
+	return result, nil
+}
+
+func (f *fakeClaims) begin(c controlstate.BeginClaim) controlstate.Result {
+	old := f.claims[c.Key]
+	switch {
+	case old == nil:
+		f.nextID++
+		f.claims[c.Key] = &fakeClaim{id: f.nextID, attempt: c.Attempt, digest: string(c.RequestDigest)}
+		return controlstate.Result{ClaimID: f.nextID}
+	case old.digest != string(c.RequestDigest):
+		return controlstate.Result{Code: resultcode.ClaimMismatch}
+	case old.done && old.answer != nil:
+		return controlstate.Result{Recorded: old.answer}
+	case old.done:
+		return controlstate.Result{Code: resultcode.ClaimOutcomeUnknown}
+	case old.attempt == c.Attempt:
+		return controlstate.Result{ClaimID: old.id}
+	}
+	return controlstate.Result{Code: resultcode.ClaimRunning}
+}
+
+func (f *fakeClaims) Finish(_ context.Context, c controlstate.FinishClaim) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errLost
+	}
+	f.finished = append(f.finished, c)
+	if old := f.claims[c.Key]; old != nil && old.id == c.ClaimID {
+		old.done, old.answer = true, c.Answer
+	}
+	return nil
+}
+
+func (f *fakeClaims) Release(_ context.Context, c controlstate.ReleaseClaim) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errLost
+	}
+	if old := f.claims[c.Key]; old != nil && old.id == c.ClaimID && !old.done {
+		delete(f.claims, c.Key)
+	}
+	return nil
+}
+
+// behaviour is how a fake upstream handles one request.
+type behaviour func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error)
+
+// fakeUpstream is an upstream and the pool of connections to it.
+type fakeUpstream struct {
+	id string
+
+	mu       sync.Mutex
+	serve    behaviour
+	refuse   bool
+	reused   bool // Connections that are not fresh have been used before.
+	inFlight int
+	most     int
+	started  int // Requests of which a byte arrived.
+	probes   int
+	keys     map[string]int // Started requests by idempotency key.
+	stale    int            // Requests that must not run twice and came on a reused connection.
+	// onConnect runs before a connection is returned.
+	onConnect func()
+}
+
+type fakeConn struct {
+	u     *fakeUpstream
+	fresh bool
+}
+
+func (u *fakeUpstream) set(b behaviour) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.serve = b
+}
+
+func (u *fakeUpstream) Connect(ctx context.Context, fresh bool) (Conn, error) {
+	u.mu.Lock()
+	refuse, hook := u.refuse, u.onConnect
+	u.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	if refuse {
+		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
+	}
+	return fakeConn{u, fresh}, ctx.Err()
+}
+
+func (u *fakeUpstream) Close() {}
+
+func (c fakeConn) Close() {}
+
+func (c fakeConn) Exchange(ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+	u := c.u
+	if r.URL.Path == "/health" {
+		u.mu.Lock()
+		u.probes++
+		u.mu.Unlock()
+		body := `{"boot_id":"boot-1","slots":3,"inflight":0,"cold":false}`
+		return respond(r, http.StatusOK, body), ExchangeOutcome{BytesWritten: 40}, nil
+	}
+	u.mu.Lock()
+	serve := u.serve
+	u.inFlight++
+	u.most = max(u.most, u.inFlight)
+	u.mu.Unlock()
+	resp, outcome, err := serve(u, ctx, r)
+	outcome.Reused = u.reused && !c.fresh
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+	if outcome.BytesWritten > 0 {
+		u.started++
+		if key := r.Header.Get(headerKey); key != "" {
+			u.keys[key]++
+			if outcome.Reused {
+				u.stale++
+			}
+		}
+	}
+	return resp, outcome, err
+}
+
+func (u *fakeUpstream) count() (started, most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.started, u.most
+}
+
+const written = 100
+
+// respond returns a complete response that echoes the request id.
+func respond(r *http.Request, status int, body string) *http.Response {
+	h := http.Header{"Content-Type": {"text/plain"}}
+	h.Set(headerRequestID, r.Header.Get(headerRequestID))
+	return &http.Response{
+		StatusCode: status, Header: h, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader([]byte(body))), Request: r,
+	}
+}
+
+// after answers with a response after some time, or fails as soon as ctx ends.
+func after(d time.Duration, status int, body string) behaviour {
+	return func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+		select {
+		case <-time.After(d):
+			return respond(r, status, body), ExchangeOutcome{BytesWritten: written}, nil
+		case <-ctx.Done():
+			return nil, ExchangeOutcome{BytesWritten: written}, ctx.Err()
+		}
+	}
+}
+
+// fails ends the exchange with an error after n bytes.
+func fails(n int64, err error) behaviour {
+	return func(*fakeUpstream, context.Context, *http.Request) (*http.Response, ExchangeOutcome, error) {
+		return nil, ExchangeOutcome{BytesWritten: n}, err
+	}
+}
+
+// changed answers at once with a response that change has altered.
+func changed(status int, body string, change func(*http.Response)) behaviour {
+	return func(_ *fakeUpstream, _ context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+		resp := respond(r, status, body)
+		change(resp)
+		return resp, ExchangeOutcome{BytesWritten: written}, nil
+	}
+}
+
+// notRun is an upstream's statement that it did not start the request.
+func notRun(resp *http.Response) { resp.Header.Set(headerNotRun, "1") }
+
+// cutAfter makes the body end with an error after n bytes.
+func cutAfter(n int) func(*http.Response) {
+	return func(resp *http.Response) {
+		resp.Body = io.NopCloser(io.MultiReader(io.LimitReader(resp.Body, int64(n)), brokenReader{}))
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, syscall.ECONNRESET }
+
+// chunked hides the length of a body.
+func chunked(resp *http.Response) {
+	resp.ContentLength, resp.TransferEncoding = -1, []string{"chunked"}
+}
+
+// fakeForwarder answers for a peer gateway.
+type fakeForwarder struct {
+	mu    sync.Mutex
+	calls []*http.Request
+	to    []uint64
+	serve func(ctx context.Context, r *http.Request) (*http.Response, error)
+}
+
+func (f *fakeForwarder) Forward(ctx context.Context, sessionID uint64, r *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	f.calls, f.to = append(f.calls, r), append(f.to, sessionID)
+	f.mu.Unlock()
+	return f.serve(ctx, r)
+}
+
+// fakeCrashes collects reports.
+type fakeCrashes struct {
+	mu      sync.Mutex
+	reports []string
+}
+
+func (f *fakeCrashes) Report(_ context.Context, _, fingerprint, upstreamID, _ string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = append(f.reports, upstreamID+"/"+fingerprint)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,13 +15,12 @@
 		return false, leaseLost()
 	}
 	r := c.outgoing()
-	id := g.tryID(c)
-	r.Header.Set(headerRequestID, id)
+	r.Header.Set(headerRequestID, g.tryID(c))
 	r.Header.Set(headerHop, "1")
 	g.metrics.count(c.service.config.Name, "forwards")
 	resp, err := g.deps.Forwarder.Forward(c.ctx, session, r.WithContext(c.ctx))
 	if err == nil {
-		return false, g.respondForwarded(c, resp, id)
+		return false, g.respondForwarded(c, r, resp)
 	}
 	if c.callerGone() {
 		return false, errCallerGone
@@ -35,20 +34,16 @@
 }
 
 // respondForwarded passes a peer's answer on, with the code and the replay mark that the peer set.
-func (g *Gateway) respondForwarded(c *call, resp *http.Response, id string) error {
+func (g *Gateway) respondForwarded(c *call, r *http.Request, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
-	if echo := resp.Header.Get(headerRequestID); echo != "" && echo != id {
+	if echo := resp.Header.Get(headerRequestID); echo != "" && echo != r.Header.Get(headerRequestID) {
 		return resultcode.Errorf(resultcode.BrokenResponse, "the response belongs to another request")
 	}
-	for _, name := range [...]string{headerCode, headerReplayed} {
-		if value := resp.Header.Get(name); value != "" {
-			c.w.Header().Set(name, value)
-		}
+	// The peer holds the slot, so there is nothing to end here.
+	a := &attempt{g: g, c: c, service: c.service.runtime, ctx: c.ctx, cancel: func() {}, request: r, ended: true, fromPeer: true}
+	a.receive(resp)
+	if a.err != nil {
+		return a.err
 	}
-	a := &attempt{g: g, c: c, service: c.service.runtime, ctx: c.ctx, cancel: func() {}, resp: resp, ended: true}
-	if !hasBody(c.r.Method, resp.StatusCode) {
-		a.complete = true
-		return c.writeWhole(a)
-	}
-	return g.stream(c, a)
+	return g.respond(c, a)
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// copyHeader copies the response header to the caller. A peer gateway, unlike an upstream, may speak for the system.
+func (a *attempt) copyHeader() {
+	copyHeader(a.c, a.resp.Header)
+	if !a.fromPeer {
+		return
+	}
+	for _, name := range [...]string{headerCode, headerReplayed} {
+		if value := a.resp.Header.Get(name); value != "" {
+			a.c.w.Header().Set(name, value)
+		}
+	}
+}
+
 func (c *call) writeReplay(answer *controlstate.Answer) error {
 	copyHeader(c, answer.Header)
 	c.w.Header().Set(headerReplayed, "1")
@@ -60,7 +73,7 @@
 }
 
 func (c *call) writeWhole(a *attempt) error {
-	copyHeader(c, a.resp.Header)
+	a.copyHeader()
 	if hasBody(c.r.Method, a.resp.StatusCode) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.small)))
 	}
@@ -136,7 +149,7 @@
 	if err != nil && err != io.EOF {
 		return a.brokenBody(err)
 	}
-	copyHeader(c, a.resp.Header)
+	a.copyHeader()
 	if length := a.resp.ContentLength; length >= 0 {
 		c.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
