admission, gateway: close two gaps in the fault tables

Two mechanisms could be disabled without a failure: a start-up probe used up the fault of the drain table, and the cold limit hid failures that counted as work.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -47,6 +47,13 @@
 				b.end("u", failed)
 			}
 		}, 1},
+		{"failures between successes do not count as work", false, func(b *bench) {
+			for range rampCompletions - 1 {
+				b.end("u", failed)
+				b.end("u", failed)
+				b.work("u", 1)
+			}
+		}, 1},
 		{"completed work does", false, func(b *bench) { b.work("u", warmUp) }, 3},
 		{"a part of it raises the limit by one", false, func(b *bench) { b.work("u", rampCompletions) }, 2},
 		{"new boot id in the view", true, again(func(u *Upstream) { u.BootID = "boot-2" }), 1},
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -67,6 +67,7 @@
 			w.is.NoErr(w.g.Shutdown(ctx))
 			synctest.Wait()
 		})
+		synctest.Wait() // The first probes are over.
 		f(w)
 	})
 }
