--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -31,7 +31,7 @@
 				w.is.Equal(w.started(), 0) // All are still running or waiting.
 				w.setView(change)
 				synctest.Wait()
-				w.is.Equal(len(w.drained), 0)
+				w.is.Equal(len(w.notices()), 0)
 				answers := wait()
 				w.is.Equal(w.started("n1"), 3)
 				for _, a := range answers {
@@ -39,14 +39,14 @@
 				}
 				synctest.Wait()
 				if how != "taken" {
-					w.is.Equal(len(w.drained), 1)
-					w.is.Equal(w.drained[0].UpstreamID, "n1")
+					w.is.Equal(len(w.notices()), 1)
+					w.is.Equal(w.notices()[0].UpstreamID, "n1")
 				}
 				for range 20 {
 					w.get()
 				}
 				w.is.Equal(w.started("n1"), 3)
-				w.is.Equal(len(w.drained) <= 1, true)
+				w.is.True(len(w.notices()) <= 1)
 			})
 		})
 		t.Run(how+" while connecting", func(t *testing.T) {
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,12 +43,9 @@
 			several(5, func() answer { return w.callout("k") })()
 		}},
 		{"before a retry", func(w *world, fault func()) {
-			done := false
+			var once sync.Once
 			w.each(func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
-				if !done {
-					done = true
-					fault()
-				}
+				once.Do(fault)
 				return changed(http.StatusServiceUnavailable, "", notRun)(u, ctx, r)
 			})
 			w.get()
@@ -59,24 +57,14 @@
 			wait()
 		}},
 		{"between claim and first byte", func(w *world, fault func()) {
-			done := false
-			w.claims.onBegin = func() {
-				if !done {
-					done = true
-					fault()
-				}
-			}
+			var once sync.Once
+			w.claims.onBegin = func() { once.Do(fault) }
 			w.callout("k")
 		}},
 		{"while connecting", func(w *world, fault func()) {
-			done := false
+			var once sync.Once
 			for _, id := range []string{"n1", "n2", "s1"} {
-				w.upstream(id).onConnect = func() {
-					if !done {
-						done = true
-						fault()
-					}
-				}
+				w.upstream(id).onConnect = func() { once.Do(fault) }
 			}
 			several(20, w.get)()
 		}},
@@ -129,7 +117,7 @@
 		w.stopZone("north")
 		w.is.Equal(w.get().body, "fine")
 		synctest.Wait()
-		w.is.Equal(len(w.drained), 2)
+		w.is.Equal(len(w.notices()), 2)
 		w.setView(func(v *controlstate.View) { v.Config.Stops = nil })
 		several(9, w.get)()
 		w.is.Equal(w.started("n1"), 3)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -110,6 +110,13 @@
 	return u
 }
 
+// notices are the notices of drained upstreams so far.
+func (w *world) notices() []Drained {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Drained(nil), w.drained...)
+}
+
 // each changes every upstream.
 func (w *world) each(b behaviour) {
 	for _, id := range []string{"n1", "n2", "s1"} {
