--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -16,6 +16,8 @@
 	maxInterim = 16
 )
 
+var errReadAfterClose = errors.New("read after close of a response body")
+
 // exchange is one request and its response. It is also the response body.
 type exchange struct {
 	ctx       context.Context
@@ -163,7 +165,7 @@
 		x.transport.pool.put(x.transport, true)
 	}
 	if x.body.err == nil || x.body.err == io.EOF {
-		x.body.err = errors.New("read after close of a response body")
+		x.body.err = errReadAfterClose
 	}
 	return nil
 }
