Add the load generator

Measurements need an open loop: a generator that waits for responses sends less while the system stalls and so hides the stall. Latency counts from the intended send time for the same reason.

It uses upstreamconn rather than net/http's client, which resends requests with an Idempotency-Key by itself and would falsify the counts of attempts and of doubled work. A refusal of a resent request does not make its outcome "not run", because an earlier attempt may have run.

--- /dev/null
+++ b/internal/loadgen/collector.go
@@ -0,0 +1,128 @@
+package loadgen
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	stepLength = 100 * time.Millisecond // of the time series
+
+	// Latencies are recorded in µs, from 1 µs to 10 min, with 3 significant digits.
+	maxLatencyMicros  = 10 * 60 * 1000 * 1000
+	significantDigits = 3
+)
+
+// sample is one request with its final outcome.
+type sample struct {
+	class    int
+	at       time.Duration // intended send time since the start
+	latency  time.Duration // from the intended send time
+	answer   answer
+	attempts int
+	key      string
+}
+
+// collector gathers the samples of a run. Safe for concurrent use.
+type collector struct {
+	config Config
+
+	mu      sync.Mutex
+	classes []classSamples
+	steps   []stepSamples
+	keys    map[string]Outcome
+}
+
+type classSamples struct {
+	unsent, resent int
+	outcomes       map[Outcome]int
+	codes          map[string]int
+	good, bad      *hdrhistogram.Histogram // µs, of successful and of other requests
+}
+
+type stepSamples struct {
+	outcomes  map[Outcome]int
+	latencies []float32 // ms, of successful requests
+}
+
+func newCollector(c Config) *collector {
+	collector := &collector{config: c, keys: map[string]Outcome{}}
+	for range c.Classes {
+		collector.classes = append(collector.classes, classSamples{
+			outcomes: map[Outcome]int{}, codes: map[string]int{},
+			good: hdrhistogram.New(1, maxLatencyMicros, significantDigits),
+			bad:  hdrhistogram.New(1, maxLatencyMicros, significantDigits),
+		})
+	}
+	return collector
+}
+
+func (c *collector) unsent(class int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.classes[class].unsent++
+}
+
+func (c *collector) record(s sample) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	class := &c.classes[s.class]
+	class.outcomes[s.answer.outcome]++
+	class.codes[s.answer.code]++
+	class.resent += s.attempts - 1
+	index := int(s.at / stepLength)
+	for len(c.steps) <= index {
+		c.steps = append(c.steps, stepSamples{outcomes: map[Outcome]int{}})
+	}
+	step := &c.steps[index]
+	step.outcomes[s.answer.outcome]++
+	micros := min(max(s.latency.Microseconds(), 1), maxLatencyMicros)
+	histogram := class.bad
+	if s.answer.outcome == OutcomeOK {
+		histogram = class.good
+		step.latencies = append(step.latencies, float32(micros)/1000)
+	}
+	histogram.RecordValue(micros) // cannot fail within the bounds
+	if c.config.RecordKeys && s.key != "" {
+		c.keys[s.key] = s.answer.outcome
+	}
+}
+
+func (c *collector) result(resolvers map[string]*resolver) Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var r Result
+	for i, class := range c.classes {
+		r.Classes = append(r.Classes, ClassResult{
+			Name: c.config.Classes[i].Name, Unsent: class.unsent, Resent: class.resent, Outcomes: class.outcomes,
+			Codes: class.codes, Latency: summarise(class.good), FailureLatency: summarise(class.bad),
+		})
+	}
+	for i, step := range c.steps {
+		slices.Sort(step.latencies)
+		r.Steps = append(r.Steps, Step{AtMillis: i * int(stepLength/time.Millisecond), Outcomes: step.outcomes,
+			P50: quantile(step.latencies, 0.5), P99: quantile(step.latencies, 0.99)})
+	}
+	if c.config.RecordKeys {
+		r.Keys = c.keys
+	}
+	for _, resolver := range resolvers {
+		resolver.mu.Lock()
+		r.AddressFailures += resolver.failures
+		r.StaleAddresses += resolver.stale
+		resolver.mu.Unlock()
+	}
+	return r
+}
+
+// quantile returns the smallest value with at least the share q of the sorted values at or below it.
+func quantile(sorted []float32, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	rank := int(float64(len(sorted))*q + 0.999999)
+	return float64(sorted[min(max(rank, 1), len(sorted))-1])
+}
--- /dev/null
+++ b/internal/loadgen/compare.go
@@ -0,0 +1,125 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// CompareConfig describes a closed comparison: one call at a time, in turn to an upstream and through a gateway.
+type CompareConfig struct {
+	// Direct and Gateway are the addresses (IP:port) of the two sides. Required.
+	Direct  string `json:"direct"`
+	Gateway string `json:"gateway"`
+	// Path starts with a slash and the service's name. Required.
+	Path string `json:"path"`
+	// Method is the HTTP method of the calls. Default GET; empty means the default.
+	Method string `json:"method,omitempty"`
+	// Tenant is sent as Bramleypick-Tenant unless empty.
+	Tenant string `json:"tenant,omitempty"`
+	// Calls is the number of measured calls of each side. Default 10000; zero means the default.
+	Calls int `json:"calls,omitempty"`
+	// WarmUpCalls are not measured. Default 200; zero means the default.
+	WarmUpCalls int `json:"warm_up_calls,omitempty"`
+}
+
+const (
+	defaultCompareCalls   = 10000
+	defaultCompareWarmUp  = 200
+	compareTimeout        = 5 * time.Second
+	compareMaxErrorsShare = 100 // one error in so many calls ends the comparison: the rest would not be comparable
+)
+
+// Comparison is the result of Compare.
+type Comparison struct {
+	Direct  Latency `json:"direct"`
+	Gateway Latency `json:"gateway"`
+	// DirectErrors and GatewayErrors count the calls without a 2xx response; they are not in the latencies.
+	DirectErrors  int `json:"direct_errors"`
+	GatewayErrors int `json:"gateway_errors"`
+	// AddedP50 and AddedP99 are the differences of the quantiles, in ms.
+	AddedP50 float64 `json:"added_p50_ms"`
+	AddedP99 float64 `json:"added_p99_ms"`
+}
+
+// Compare alternates the order of the two sides in each pair, so that neither always follows the other.
+func Compare(ctx context.Context, c CompareConfig) (Comparison, error) {
+	if c.Method == "" {
+		c.Method = http.MethodGet
+	}
+	if c.Calls == 0 {
+		c.Calls = defaultCompareCalls
+	}
+	if c.WarmUpCalls == 0 {
+		c.WarmUpCalls = defaultCompareWarmUp
+	}
+	if c.Direct == "" || c.Gateway == "" || c.Path == "" || c.Calls < 0 || c.WarmUpCalls < 0 {
+		return Comparison{}, errors.New("direct, gateway and path are required, and calls must not be negative")
+	}
+	class := &Class{Method: c.Method, Path: c.Path, Tenant: c.Tenant}
+	client := newClient(Config{Classes: []Class{*class}})
+	defer client.close()
+	sides := [2]string{c.Direct, c.Gateway}
+	var histograms [2]*hdrhistogram.Histogram
+	var failed [2]int
+	for i := range histograms {
+		histograms[i] = hdrhistogram.New(1, maxLatencyMicros*1000, significantDigits) // ns
+	}
+	for i := range c.WarmUpCalls + c.Calls {
+		for j := range sides {
+			side := (i + j) % 2
+			took, err := timeCall(ctx, client, class, sides[side])
+			switch {
+			case ctx.Err() != nil:
+				return Comparison{}, errors.Wrap(ctx.Err(), "compare")
+			case i < c.WarmUpCalls:
+			case err == nil:
+				histograms[side].RecordValue(took.Nanoseconds()) // cannot fail within compareTimeout
+			default:
+				failed[side]++
+				if failed[side] > max(1, c.Calls/compareMaxErrorsShare) {
+					return Comparison{}, errors.Wrapf(err, "too many failed calls to %s", sides[side])
+				}
+			}
+		}
+	}
+	r := Comparison{Direct: summariseNanos(histograms[0]), Gateway: summariseNanos(histograms[1]), DirectErrors: failed[0],
+		GatewayErrors: failed[1]}
+	r.AddedP50, r.AddedP99 = r.Gateway.P50-r.Direct.P50, r.Gateway.P99-r.Direct.P99
+	return r, nil
+}
+
+func timeCall(ctx context.Context, client *client, class *Class, address string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	start := time.Now()
+	a, _ := client.attempt(ctx, newCall(class, start), []string{address}, "")
+	if a.outcome != OutcomeOK {
+		return 0, errors.Errorf("%s (%s)", a.outcome, a.code)
+	}
+	return time.Since(start), nil
+}
+
+func summariseNanos(h *hdrhistogram.Histogram) Latency {
+	l := summarise(h)
+	for _, field := range []*float64{&l.Mean, &l.P50, &l.P90, &l.P99, &l.P999, &l.Max} {
+		*field /= 1000
+	}
+	return l
+}
+
+// WriteTable writes a short text table.
+func (r Comparison) WriteTable(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "side\tcalls\terrors\tp50 ms\tp99 ms\t")
+	fmt.Fprintf(table, "direct\t%d\t%d\t%.3f\t%.3f\t\n", r.Direct.Count, r.DirectErrors, r.Direct.P50, r.Direct.P99)
+	fmt.Fprintf(table, "gateway\t%d\t%d\t%.3f\t%.3f\t\n", r.Gateway.Count, r.GatewayErrors, r.Gateway.P50, r.Gateway.P99)
+	fmt.Fprintf(table, "difference\t\t\t%.3f\t%.3f\t\n", r.AddedP50, r.AddedP99)
+	return table.Flush()
+}
--- /dev/null
+++ b/internal/loadgen/config.go
@@ -0,0 +1,119 @@
+// Package loadgen is an open-loop load generator: requests are sent on a schedule that does not wait for responses, and
+// latency counts from the intended send time, so that a stalled system cannot hide its stalls. It acts as the clients do:
+// it asks entry VMs for addresses, keeps them for their time to live, and resends requests whose outcome is unknown with
+// the same idempotency key.
+package loadgen
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Config describes one run.
+type Config struct {
+	// Entries are the caller addresses (IP:port) of entry VMs. At least one is required.
+	Entries []string `json:"entries"`
+	// Classes are mixed by weight. At least one is required.
+	Classes []Class `json:"classes"`
+	// Rate is the number of requests per second over all classes. Required.
+	Rate float64 `json:"rate"`
+	// Uniform spaces the requests evenly instead of as a Poisson process. Default false.
+	Uniform bool `json:"uniform,omitempty"`
+	// DurationMillis is the length of the schedule, in ms. Required.
+	DurationMillis int `json:"duration_ms"`
+	// MaxInFlight bounds the requests in flight; those beyond it count as unsent, and make the run invalid as an open loop.
+	// Default 10000; zero means the default.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
+	// Seed makes the schedule repeatable.
+	Seed uint64 `json:"seed,omitempty"`
+	// CheckBody requires the first line of a 2xx response's body to repeat the request, as test upstreams answer.
+	CheckBody bool `json:"check_body,omitempty"`
+	// RecordKeys lists the final outcome of each idempotency key in the result, to compare with the executions.
+	RecordKeys bool `json:"record_keys,omitempty"`
+}
+
+// Class is one kind of request.
+type Class struct {
+	// Name identifies the class in the result. Required.
+	Name string `json:"name"`
+	// Service is the service whose addresses are used. Required.
+	Service string `json:"service"`
+	// Method is the HTTP method. Default GET; empty means the default.
+	Method string `json:"method,omitempty"`
+	// Path starts with a slash and the service's name. A unique query is added to it. Required.
+	Path string `json:"path"`
+	// Weight is the class's share of the requests, relative to the others. Default 1; zero means the default.
+	Weight float64 `json:"weight,omitempty"`
+	// BodyBytes is the length of the request body, in bytes. Default 0.
+	BodyBytes int `json:"body_bytes,omitempty"`
+	// Tenant is sent as Bramleypick-Tenant unless empty.
+	Tenant string `json:"tenant,omitempty"`
+	// NonIdempotent requests carry a unique Idempotency-Key and its time.
+	NonIdempotent bool `json:"non_idempotent,omitempty"`
+	// TimeoutMillis bounds a request with all its attempts, in ms. Default 10000; zero means the default.
+	TimeoutMillis int `json:"timeout_ms,omitempty"`
+	// Resend says what happens to requests whose outcome is unknown.
+	Resend Resend `json:"resend,omitzero"`
+}
+
+// Resend is the policy for requests whose outcome is unknown, broken or lost.
+type Resend struct {
+	// Max is the number of further attempts, with the same key and at another address if there is one. Default 0.
+	Max int `json:"max,omitempty"`
+	// DelayMillis is the time before each of them, in ms. Default 0.
+	DelayMillis int `json:"delay_ms,omitempty"`
+	// AttemptTimeoutMillis bounds each attempt, in ms. Zero means only the class's timeout.
+	AttemptTimeoutMillis int `json:"attempt_timeout_ms,omitempty"`
+	// NotRun resends requests that certainly did not run, too. Default false.
+	NotRun bool `json:"not_run,omitempty"`
+}
+
+const (
+	defaultMaxInFlight = 10000
+	defaultTimeout     = 10 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = defaultMaxInFlight
+	}
+	c.Classes = append([]Class(nil), c.Classes...)
+	for i := range c.Classes {
+		class := &c.Classes[i]
+		if class.Method == "" {
+			class.Method = http.MethodGet
+		}
+		if class.Weight == 0 {
+			class.Weight = 1
+		}
+		if class.TimeoutMillis == 0 {
+			class.TimeoutMillis = int(defaultTimeout / time.Millisecond)
+		}
+	}
+	return c
+}
+
+func (c Config) validate() error {
+	if len(c.Entries) == 0 || len(c.Classes) == 0 {
+		return errors.New("entries and classes must not be empty")
+	}
+	if c.Rate <= 0 || c.DurationMillis <= 0 || c.MaxInFlight < 0 {
+		return errors.New("rate and duration_ms must be above 0, and max_in_flight must not be negative")
+	}
+	for _, class := range c.Classes {
+		if class.Name == "" || class.Service == "" || !strings.HasPrefix(class.Path, "/") {
+			return errors.Errorf("class %q needs a name, a service, and a path that starts with a slash", class.Name)
+		}
+		if class.Weight < 0 || class.BodyBytes < 0 || class.TimeoutMillis < 0 || class.Resend.Max < 0 {
+			return errors.Errorf("class %q has a negative number", class.Name)
+		}
+	}
+	return nil
+}
+
+func (c Class) timeout() time.Duration {
+	return time.Duration(c.TimeoutMillis) * time.Millisecond
+}
--- /dev/null
+++ b/internal/loadgen/schedule.go
@@ -0,0 +1,47 @@
+package loadgen
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// schedule draws the intended send times and classes of a run.
+type schedule struct {
+	random  *rand.Rand
+	mean    float64 // ns between two requests
+	uniform bool
+	weights []float64
+	total   float64
+	next    float64 // ns since the start
+	end     time.Duration
+}
+
+func newSchedule(c Config) *schedule {
+	s := &schedule{
+		random: rand.New(rand.NewPCG(c.Seed, 1)), mean: float64(time.Second) / c.Rate, uniform: c.Uniform,
+		end: time.Duration(c.DurationMillis) * time.Millisecond,
+	}
+	for _, class := range c.Classes {
+		s.weights = append(s.weights, class.Weight)
+		s.total += class.Weight
+	}
+	return s
+}
+
+// draw returns the time since the start and the class of the next request, and false at the end of the schedule.
+func (s *schedule) draw() (at time.Duration, class int, ok bool) {
+	gap := s.mean
+	if !s.uniform {
+		gap *= s.random.ExpFloat64()
+	}
+	s.next += gap
+	at = time.Duration(s.next)
+	if at >= s.end {
+		return 0, 0, false
+	}
+	rest := s.random.Float64() * s.total
+	for class = 0; class < len(s.weights)-1 && rest >= s.weights[class]; class++ {
+		rest -= s.weights[class]
+	}
+	return at, class, true
+}
