--- a/cmd/bramleypick/main.go
+++ b/cmd/bramleypick/main.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/bramleypick/bramleypick/internal/loadgen"
 )
 
 func main() {
@@ -27,7 +29,7 @@
 		Commands: []*cli.Command{
 			runCommand(), bootstrapCommand(), checkCommand(),
 			applyCommand(), configCommand(), statusCommand(), stopCommand(), returnCommand(),
-			keysCommand(), trialCommand(),
+			keysCommand(), trialCommand(), loadgen.Command(),
 		},
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,7 @@
 	var wg sync.WaitGroup
 	defer d.renewals.Wait()
 	defer wg.Wait()
+	defer d.closeServers()
 	defer cancel()
 	for _, duty := range d.duties() {
 		wg.Go(func() { duty(background) })
@@ -214,11 +215,7 @@
 
 // close releases what New opened. It is safe to call after shutdown.
 func (d *Daemon) close() {
-	for _, server := range []*http.Server{d.callers, d.operators} {
-		if server != nil {
-			server.Close()
-		}
-	}
+	d.closeServers()
 	for _, l := range d.listeners {
 		l.Close()
 	}
@@ -230,6 +227,14 @@
 	d.network.Close()
 }
 
+func (d *Daemon) closeServers() {
+	for _, server := range []*http.Server{d.callers, d.operators} {
+		if server != nil {
+			server.Close()
+		}
+	}
+}
+
 func controlNames(s settings.Settings) []string {
 	var names []string
 	for _, name := range replicaNames(s) {
