--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -14,101 +13,6 @@
 	"github.com/bramleypick/bramleypick/vfs/vfstest"
 )
 
-const testDir = "data"
-
-var smallSegments = Options{SegmentBytes: 400}
-
-// step is one call of the log and its effect on what Open must return.
-type step struct {
-	name string
-	call func(l *Log) error
-	want func(r replog.Restored) replog.Restored
-}
-
-func save(term, commit, first uint64, count int) step {
-	hs := &replog.HardState{Term: term, Vote: 2, Commit: commit}
-	var entries []replog.Entry
-	for i := range uint64(count) {
-		data := fmt.Appendf(nil, "entry %d of term %d", first+i, term)
-		entries = append(entries, replog.Entry{Index: first + i, Term: term, Data: data})
-	}
-	return step{
-		name: fmt.Sprintf("save %d from %d", count, first),
-		call: func(l *Log) error { return l.Save(hs, entries) },
-		want: func(r replog.Restored) replog.Restored {
-			r.HardState = *hs
-			kept := r.Entries
-			if len(entries) > 0 {
-				kept = kept[:min(len(kept), int(first-r.Snapshot.Index-1))]
-			}
-			r.Entries = append(append([]replog.Entry(nil), kept...), entries...)
-			return r
-		},
-	}
-}
-
-// snapshot replaces the log's start, or all of it if the log doesn't contain its last entry.
-func snapshot(index, term uint64, keepsTail bool) step {
-	s := replog.Snapshot{Index: index, Term: term, Data: fmt.Appendf(nil, "state at %d", index)}
-	s.Membership.Voters = []replog.NodeID{1, 2, 3}
-	return step{
-		name: fmt.Sprintf("snapshot at %d", index),
-		call: func(l *Log) error { return l.SaveSnapshot(s) },
-		want: func(r replog.Restored) replog.Restored {
-			kept := []replog.Entry(nil)
-			for _, entry := range r.Entries {
-				if keepsTail && entry.Index > index {
-					kept = append(kept, entry)
-				}
-			}
-			r.HardState.Commit = max(r.HardState.Commit, index)
-			r.Snapshot, r.Entries = s, kept
-			return r
-		},
-	}
-}
-
-// script covers rewriting, full segments, and snapshots that keep and that replace the log.
-var script = []step{
-	save(1, 0, 1, 3), save(1, 2, 4, 5), save(2, 2, 6, 2), save(2, 6, 8, 12), snapshot(5, 1, true), save(2, 10, 20, 8),
-	save(3, 10, 15, 1), save(3, 15, 16, 9), snapshot(16, 3, true), save(3, 20, 25, 0), snapshot(20, 9, false),
-	save(9, 20, 21, 3), snapshot(40, 9, false), save(9, 41, 41, 6), snapshot(46, 9, true),
-}
-
-func describe(r replog.Restored) string { return fmt.Sprintf("%+v", r) }
-
-// states returns what Open must return after each number of steps.
-func states() []string {
-	r := replog.Restored{}
-	list := []string{describe(r)}
-	for _, s := range script {
-		r = s.want(r)
-		list = append(list, describe(r))
-	}
-	return list
-}
-
-func mustOpen(t *testing.T, fsys vfs.FS) (*Log, string) {
-	t.Helper()
-	l, restored, err := Open(fsys, testDir, smallSegments)
-	is.New(t).NoErr(err)
-	return l, describe(restored)
-}
-
-// run opens the log and performs the script from step first until a call fails. It returns the number of steps done.
-func run(fsys vfs.FS, first int) (*Log, int, error) {
-	l, _, err := Open(fsys, testDir, smallSegments)
-	if err != nil {
-		return nil, first, err
-	}
-	for i := first; i < len(script); i++ {
-		if err := script[i].call(l); err != nil {
-			return l, i, err
-		}
-	}
-	return l, len(script), nil
-}
-
 // Guards against loss and invention by a crash after each file operation, with each outcome for unsynced data, and
 // against an Open that can't continue afterwards. A second crash during Open is tried for a third of the outcomes,
 // since it takes most of the time.
@@ -122,7 +26,7 @@
 		for n := 0; ; n++ {
 			fsys := vfstest.New()
 			fsys.StopAfter(n)
-			_, done, err := run(fsys, 0)
+			_, done, err := run(fsys, 0, len(script))
 			if err == nil {
 				break
 			}
@@ -133,19 +37,29 @@
 			if got != allowed[0] && got != allowed[1] {
 				t.Fatalf("%+v after operation %d in %q: got %s\nwant %v", crash, n, script[done].name, got, allowed)
 			}
+			names, _ := fsys.List(testDir)
+			if inv := takeInventory(names); len(inv.snapshots) > 1 || len(inv.temps) > 0 {
+				t.Fatalf("%+v after operation %d: files left behind: %v", crash, n, names)
+			}
 			if i%3 == 0 {
 				crashDuringOpen(t, before, got)
 			}
 			if got != want[done] {
 				done++
 			}
-			fsys.Crash(vfstest.Crash{})
-			if _, _, err := run(fsys, done); err != nil {
-				t.Fatalf("%+v after operation %d: continuing: %v", crash, n, err)
+			for _, end := range []int{min(done+1, len(script)), len(script)} { // the next step, then the others
+				fsys.Crash(vfstest.Crash{})
+				if _, _, err := run(fsys, done, end); err != nil {
+					t.Fatalf("%+v after operation %d: continuing: %v", crash, n, err)
+				}
+				fsys.Crash(vfstest.Crash{})
+				if _, got := mustOpen(t, fsys); got != want[end] {
+					t.Fatalf("%+v after operation %d: after continuing got %s", crash, n, got)
+				}
+				done = end
 			}
-			fsys.Crash(vfstest.Crash{})
-			if _, got := mustOpen(t, fsys); got != want[len(script)] {
-				t.Fatalf("%+v after operation %d: after continuing got %s", crash, n, got)
+			if names, _ = fsys.List(testDir); len(names) != 2 { // a segment and a snapshot
+				t.Fatalf("%+v after operation %d: files left behind: %v", crash, n, names)
 			}
 		}
 	}
@@ -180,7 +94,7 @@
 		for n := 1; ; n++ {
 			fsys := vfstest.New()
 			inject(fsys, n)
-			l, done, err := run(fsys, 0)
+			l, done, err := run(fsys, 0, len(script))
 			if err == nil {
 				break
 			}
@@ -217,7 +131,7 @@
 	for _, zeros := range []bool{false, true} {
 		for cut := 0; ; cut++ {
 			fsys := vfstest.New()
-			l, _, _ := run(fsys, 0)
+			l, _, _ := run(fsys, 0, len(script))
 			last := save(9, 46, 47, 2)
 			fsys.StopAfter(1) // the write succeeds, the fsync doesn't happen
 			is.New(t).True(last.call(l) != nil)
@@ -303,7 +217,7 @@
 		{"older snapshot", snapshot(45, 9, true), ErrStaleSnapshot},
 		{"next entry", save(9, 46, 47, 1), nil},
 	}
-	l, _, err := run(vfstest.New(), 0)
+	l, _, err := run(vfstest.New(), 0, len(script))
 	is.New(t).NoErr(err)
 	for _, test := range tests {
 		if err := test.step.call(l); !errors.Is(err, test.want) {
@@ -314,6 +228,19 @@
 	is.New(t).Equal(l.Save(&replog.HardState{}, nil), ErrClosed)
 }
 
+// Guards against taking a record that was copied to another place, such as into an entry's data, for a record of the
+// log: a torn tail that contains it would be refused as damage.
+func TestRecordIsBoundToItsPlace(t *testing.T) {
+	is := is.New(t)
+	data := append(make([]byte, frameBytes), "payload"...)
+	is.NoErr(sealRecord(data, recordBatch, 3, 0))
+	_, ok := readRecord(data, 3, 0)
+	is.True(ok)
+	_, ok = readRecord(data, 4, 0)
+	is.True(!ok)
+	is.True(!hasRecordAfter(append([]byte("damaged"), data...), 3, 0))
+}
+
 // Guards against a snapshot that is written while entries are saved losing any of them.
 func TestSaveDuringSnapshot(t *testing.T) {
 	is := is.New(t)
