--- /dev/null
+++ b/internal/controlnode/failure_test.go
@@ -0,0 +1,186 @@
+package controlnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/vfs/vfstest"
+	"github.com/bramleypick/bramleypick/wal"
+)
+
+// Guards against lost or repeated commands and a long outage when the leader is killed under load.
+func TestLeaderKilled(t *testing.T) {
+	forSizes(t, nil, func(t *testing.T, g *group) {
+		is := is.New(t)
+		old := g.leader()
+		g.propose(numbered("before", 20)...)
+		o := g.proposeAll(t.Context(), old, numbered("during", 200))
+		g.kill(old)
+		killed := time.Now()
+		next := g.leader()
+		is.True(next != old)
+		is.True(time.Since(killed) < 2*time.Second)
+		g.propose(numbered("after", 20)...)
+		g.restart(old)
+		applied := g.converged()
+		succeeded, unknown, refused := o.check(t, applied)
+		is.Equal(succeeded+unknown+refused, 200)
+		is.Equal(len(applied) >= 40+succeeded, true)
+	})
+}
+
+// Guards against a replica that continues after a failed fsync, and against an acknowledgement of what it lost.
+func TestFsyncFailureStopsNode(t *testing.T) {
+	for nth := 1; nth <= 3; nth++ {
+		forSizes(t, nil, func(t *testing.T, g *group) {
+			is := is.New(t)
+			leader := g.leader()
+			g.propose(numbered("before", 5)...)
+			g.replicas[leader].fs.(*vfstest.FS).FailSync(nth)
+			var all []*outcomes
+			for batch := range 4 {
+				all = append(all, g.proposeAll(t.Context(), leader, numbered(fmt.Sprint("b", batch, "-"), 10)))
+				synctest.Wait()
+			}
+			err := <-g.node(leader).Failed()
+			is.True(errors.Is(err, wal.ErrFailed))
+			is.True(errors.Is(err, vfstest.ErrInjected))
+			g.mu.Lock()
+			sent := g.sent[leader]
+			g.mu.Unlock()
+			next := g.leader()
+			for next == leader {
+				time.Sleep(time.Second)
+				next = g.leader()
+			}
+			_, err = g.node(leader).Propose(t.Context(), []byte("refused"))
+			is.True(errors.Is(err, ErrNotLeader))
+			_, err = g.node(leader).ReadBarrier(t.Context())
+			is.True(errors.Is(err, ErrNotLeader))
+			g.mu.Lock()
+			is.Equal(g.sent[leader], sent) // nothing is sent after the failure
+			g.mu.Unlock()
+			g.kill(leader)
+			g.propose("after")
+			g.restart(leader)
+			applied := g.converged()
+			is.True(!slices.Contains(applied, "refused"))
+			total := 0
+			for _, o := range all {
+				succeeded, unknown, refused := o.check(t, applied)
+				is.Equal(succeeded+unknown+refused, 10)
+				total += unknown
+			}
+			is.True(total > 0)
+		})
+	}
+}
+
+// Guards against reporting "not appended" for a command that is in the log of a leader that lost its leadership or its
+// caller, in particular if the group applies it later.
+func TestLostResultIsOutcomeUnknown(t *testing.T) {
+	tests := []struct {
+		name    string
+		cut     func(g *group, leader replog.NodeID)
+		timeout time.Duration
+		applied bool
+	}{
+		{"leader isolated", func(g *group, leader replog.NodeID) { g.isolate(leader, true) }, time.Hour, false},
+		{"leader not reachable but heard", func(g *group, leader replog.NodeID) {
+			for _, id := range g.running() {
+				g.cutLink(id, leader, true)
+			}
+		}, time.Hour, true},
+		{"caller leaves, then the leader commits", func(g *group, leader replog.NodeID) {
+			g.isolate(leader, true)
+		}, time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			forSizes(t, nil, func(t *testing.T, g *group) {
+				is := is.New(t)
+				leader := g.leader()
+				test.cut(g, leader)
+				ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+				defer cancel()
+				o := g.proposeAll(ctx, leader, numbered("c", 10))
+				asked := time.Now()
+				o.waiting.Wait()
+				is.True(time.Since(asked) < 10*time.Second) // not only when ctx ends
+				g.isolate(leader, false)
+				g.propose("after")
+				applied := g.converged()
+				_, unknown, _ := o.check(t, applied)
+				is.Equal(unknown, 10)
+				is.Equal(slices.Contains(applied, "c0"), test.applied)
+			})
+		})
+	}
+}
+
+// Guards against acknowledging or voting before the state is durable: at each message, the sender's disk is examined as a
+// loss of power at that moment would leave it.
+func TestMessagesOnlyAfterDurable(t *testing.T) {
+	forSizes(t, nil, func(t *testing.T, g *group) {
+		var checked atomic.Int64
+		g.observeSends(func(from replog.NodeID, m replog.Message) {
+			disk := g.replicas[from].fs.(*vfstest.FS).Clone()
+			disk.Crash(vfstest.Crash{})
+			_, restored, err := wal.Open(disk, "data", wal.Options{})
+			last := restored.Snapshot.Index + uint64(len(restored.Entries))
+			hs := restored.HardState
+			var wrong bool
+			switch m.Type {
+			case replog.MessagePreVote, replog.MessagePreVoteResponse: // of a term that nobody entered
+			case replog.MessageAppendResponse:
+				wrong = !m.Reject && m.Index > last || m.Term != hs.Term
+			case replog.MessageVote:
+				wrong = m.Term != hs.Term || hs.Vote != from
+			case replog.MessageVoteResponse:
+				wrong = m.Term != hs.Term || !m.Reject && hs.Vote != m.To
+			default:
+				wrong = m.Term != hs.Term
+			}
+			if wrong || err != nil {
+				t.Errorf("message %+v while the disk holds %+v up to index %d, error %v", m, hs, last, err)
+			}
+			checked.Add(1)
+		})
+		g.propose(numbered("c", 20)...)
+		g.kill(g.leader())
+		g.propose("last")
+		is.New(t).True(checked.Load() > 100)
+	})
+}
+
+// Guards against appending a command whose caller was told that it was not appended.
+func TestWithdrawnProposalIsNotAppended(t *testing.T) {
+	forSizes(t, nil, func(t *testing.T, g *group) {
+		is := is.New(t)
+		leader := g.leader()
+		release := make(chan struct{})
+		g.observeSends(func(from replog.NodeID, _ replog.Message) {
+			if from == leader {
+				<-release
+			}
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		time.Sleep(DefaultTickInterval * DefaultHeartbeatTicks) // the leader is blocked sending a heartbeat
+		o := g.proposeAll(ctx, leader, numbered("c", 10))
+		o.waiting.Wait()
+		close(release)
+		g.propose("after")
+		_, _, refused := o.check(t, g.converged())
+		is.Equal(refused, 10)
+	})
+}
--- a/internal/controlnode/group_test.go
+++ b/internal/controlnode/group_test.go
@@ -1,8 +1,6 @@
 package controlnode
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -50,6 +48,7 @@
 	replicas map[replog.NodeID]*replica
 	cut      map[[2]replog.NodeID]bool
 	sent     map[replog.NodeID]int
+	onSend   func(from replog.NodeID, m replog.Message) // nil or set by observeSends
 	adjust   func(*Config)
 	bootIDs  []replog.NodeID
 }
@@ -67,7 +66,11 @@
 	if r != nil {
 		node = r.node
 	}
+	onSend := l.group.onSend
 	l.group.mu.Unlock()
+	if onSend != nil {
+		onSend(l.from, m)
+	}
 	if node != nil && !cut {
 		node.Receive(m)
 	}
@@ -125,6 +128,13 @@
 
 func (g *group) restart(id replog.NodeID) { g.t.Helper(); g.start(id, g.replicas[id].fs) }
 
+// observeSends calls f before each delivery, on the sender's loop.
+func (g *group) observeSends(f func(from replog.NodeID, m replog.Message)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.onSend = f
+}
+
 // forget removes a replica that was killed, with its files.
 func (g *group) forget(id replog.NodeID) {
 	g.mu.Lock()
@@ -246,52 +256,4 @@
 
 func (g *group) voters() []replog.NodeID { return g.node(g.leader()).Status().Membership.Voters }
 
-// outcomes proposes commands concurrently at one replica and returns the error of each.
-type outcomes struct {
-	mu      sync.Mutex
-	errs    map[string]error
-	waiting sync.WaitGroup
-}
-
-func (g *group) proposeAll(ctx context.Context, id replog.NodeID, commands []string) *outcomes {
-	o := &outcomes{errs: map[string]error{}}
-	node := g.node(id)
-	for _, command := range commands {
-		o.waiting.Go(func() {
-			result, err := node.Propose(ctx, []byte(command))
-			if err == nil && !strings.HasSuffix(string(result), " "+command) {
-				err = errors.New("result of another entry: " + string(result))
-			}
-			o.mu.Lock()
-			defer o.mu.Unlock()
-			o.errs[command] = err
-		})
-	}
-	return o
-}
-
-// check waits for the outcomes and compares them with what was applied: a success is applied once, a command that was
-// refused is not applied, and no other error occurs.
-func (o *outcomes) check(t testing.TB, applied []string) (succeeded, unknown, refused int) {
-	t.Helper()
-	o.waiting.Wait()
-	times := map[string]int{}
-	for _, command := range applied {
-		times[command]++
-	}
-	for command, err := range o.errs {
-		switch {
-		case err == nil && times[command] == 1:
-			succeeded++
-		case errors.Is(err, ErrOutcomeUnknown) && !errors.Is(err, ErrNotLeader) && times[command] <= 1:
-			unknown++
-		case errors.Is(err, ErrNotLeader) && times[command] == 0:
-			refused++
-		default:
-			t.Errorf("%s: error %v, applied %d times", command, err, times[command])
-		}
-	}
-	return succeeded, unknown, refused
-}
-
 var smallLog = wal.Options{SegmentBytes: 4096}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,9 @@
 // Start opens the data directory and runs the replica. A damaged directory is reported as a *wal.CorruptError or
 // replog.ErrCorrupt.
 func Start(cfg Config, sm StateMachine, t Transport) (*Node, error) {
+	if cfg.ID == 0 || cfg.Dir == "" {
+		return nil, fmt.Errorf("%w: ID and Dir are required", replog.ErrInvalidConfig)
+	}
 	cfg = cfg.withDefaults()
 	log, restored, err := wal.Open(cfg.FS, cfg.Dir, cfg.WAL)
 	if err != nil {
@@ -153,7 +157,7 @@
 func (n *Node) Failed() <-chan error { return n.failed }
 
 // Query runs f on the applier's goroutine, between two Apply calls, and returns once it has run. On a stopped Node f runs
-// on the calling goroutine.
+// on the calling goroutine. f must not call Query.
 func (n *Node) Query(f func()) { n.applier.query(f) }
 
 // SetDesiredVoters replaces Config.DesiredVoters, for instance by a set without the replicas of a zone that is stopped,
