gateway, admission: follow the control group's epochs, sessions and claims

Epochs start at a log index, so the first owner cannot be told by epoch 1; a view can assign upstreams to a session before the gateway knows of it; and Begin can refuse with the id of a claim that an earlier send of the same attempt holds. Requests of a lost owner stop counting once their deadlines have passed, so that a dead health endpoint does not keep an upstream out for ever.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -31,6 +31,7 @@
 	loseAndRegain := func(change func(*Upstream)) func(*bench) {
 		return func(b *bench) {
 			again(func(u *Upstream) { u.Owned = false })(b)
+			again(func(u *Upstream) { u.Owned, u.Epoch = false, 2; change(u) })(b)
 			again(func(u *Upstream) { u.Epoch = 3; change(u) })(b)
 		}
 	}
@@ -84,6 +85,16 @@
 			loseAndRegain(func(u *Upstream) { u.OwnerLost = true })(b)
 			b.wait(time.Hour)
 		}, 0},
+		{"owner lost, and the deadlines of its requests have passed", true, func(b *bench) {
+			b.s.cfg.ForeignTimeout = time.Minute
+			loseAndRegain(func(u *Upstream) { u.OwnerLost = true })(b)
+			b.wait(time.Minute)
+		}, 1},
+		{"owner lost, and they have not passed yet", true, func(b *bench) {
+			b.s.cfg.ForeignTimeout = time.Minute
+			loseAndRegain(func(u *Upstream) { u.OwnerLost = true })(b)
+			b.wait(time.Minute - 1)
+		}, 0},
 		{"released with two remaining", true, loseAndRegain(func(u *Upstream) { u.Remaining = 2 }), 1},
 		{"released with nothing remaining starts cold until a report", true, loseAndRegain(func(*Upstream) {}), 1},
 		{"new boot id learned with the new ownership, report not cold", true, func(b *bench) {
@@ -117,6 +128,21 @@
 	}
 }
 
+// Guards against an upstream that no owner has warmed up starting at its slots because its boot id is old.
+func TestFirstOwnerStartsCold(t *testing.T) {
+	is := is.New(t)
+	u := owned("u")
+	u.Owned = false
+	b := newBench(t, testConfig(), u)
+	b.wait(time.Hour)
+	u.Owned, u.Epoch = true, 2
+	b.set(u)
+	b.wait(time.Second)
+	b.answerProbes(Report{BootID: "boot-1", HasLoad: true, Slots: 3, HasCold: true})
+	b.fill(5)
+	is.Equal(len(b.running["u"]), 1)
+}
+
 // Guards against a late response of the process before a restart putting the ramp back a second time, and against its
 // completion counting as work of the new process.
 func TestLateResponseOfFormerProcess(t *testing.T) {
--- a/admission/config.go
+++ b/admission/config.go
@@ -35,6 +35,9 @@
 	// ProbesPerSecond and ProbeBytesPerSecond are the measurement budget of each upstream. Zero means no probes.
 	ProbesPerSecond     float64
 	ProbeBytesPerSecond int
+	// ForeignTimeout is how long after a new ownership requests of former owners can still run, because their deadlines
+	// have passed by then. Zero means that only load reports show their end.
+	ForeignTimeout time.Duration
 	// Weights are the shares of tenants; a tenant that is missing has weight 1.
 	Weights map[string]int
 	// Rand returns a random number in [0, n). Required by the baseline policies only.
--- a/admission/poll.go
+++ b/admission/poll.go
@@ -11,6 +11,7 @@
 	s.out.Dispatches = s.out.Dispatches[:0]
 	s.out.Probes = s.out.Probes[:0]
 	s.endEjections(now)
+	s.endForeign(now)
 	s.expire(now)
 	s.pollProbes(now)
 	s.dispatch(now)
@@ -25,6 +26,20 @@
 	return out
 }
 
+// endForeign stops counting requests of former owners whose deadlines have passed, so that an upstream whose health
+// endpoint does not answer is not left out for ever.
+func (s *Scheduler) endForeign(now time.Time) {
+	for _, u := range s.order {
+		switch {
+		case u.foreign == 0 || s.cfg.ForeignTimeout <= 0:
+		case now.Before(u.foreignUntil):
+			s.wakeAt(u.foreignUntil)
+		default:
+			u.foreign = 0
+		}
+	}
+}
+
 func (s *Scheduler) dispatch(now time.Time) {
 	for s.queue.size > 0 {
 		free, over := s.room(now)
--- a/admission/probe.go
+++ b/admission/probe.go
@@ -18,8 +18,8 @@
 }
 
 // prober is the measurement budget of one upstream: a token bucket in requests and in bytes. Both hold at most one
-// probe's worth beyond the rate. After a change of owner they start empty, because the former owner may have just spent
-// its own; the burst bound therefore holds over any number of owners.
+// probe's worth, or one second of the byte rate, beyond the rate. Both start empty, because a former owner may have just
+// spent its own; the burst bound therefore holds over any number of owners.
 type prober struct {
 	requests, bytes float64
 	at              time.Time
@@ -31,14 +31,6 @@
 	quietUntil time.Time
 }
 
-func newProber(cfg *Config, firstOwner bool, now time.Time) prober {
-	p := prober{at: now}
-	if firstOwner {
-		p.requests, p.bytes = 1, byteBurst(cfg)
-	}
-	return p
-}
-
 func byteBurst(cfg *Config) float64 {
 	return max(float64(cfg.ProbeBytesPerSecond), MaxProbeBytes)
 }
--- a/admission/probe_test.go
+++ b/admission/probe_test.go
@@ -80,6 +80,7 @@
 		t.Run(row.description, func(t *testing.T) {
 			is := is.New(t)
 			b := newBench(t, testConfig(), owned("u"))
+			b.wait(time.Second)
 			b.answerProbes(Report{HasLoad: true, Slots: 3})
 			b.enqueue(Request{Class: "c"})
 			u := owned("u")
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -188,7 +188,7 @@
 // restarted handles a new boot id: the process is cold, and the requests of former owners ended with the old one.
 func (s *Scheduler) restarted(u *upstream, bootID string) {
 	u.bootID = bootID
-	u.foreign = 0
+	u.foreign, u.carried = 0, false
 	u.slots = u.info.Slots
 	s.drop(u)
 }
--- a/admission/setupstreams.go
+++ b/admission/setupstreams.go
@@ -42,6 +42,7 @@
 		s.update(u, info, now)
 	}
 	u.info = info
+	u.carried = u.carried || info.Assigned || info.Owned
 	if u.slots == 0 || u.slots > info.Slots {
 		u.slots = info.Slots
 	}
@@ -57,24 +58,24 @@
 		s.restarted(u, info.BootID)
 	}
 	if info.Owned && (info.Epoch != u.info.Epoch || u.probe.at.IsZero()) {
-		s.takeOver(u, info, !restarted, now)
+		s.takeOver(u, info, u.carried, now)
 	}
 }
 
-// takeOver starts a new ownership. The upstream starts at the cold limit; where its boot id was known before, the first
-// report that it is not cold lifts the limit to its slots, less the requests of former owners.
-func (s *Scheduler) takeOver(u *upstream, info Upstream, knownBoot bool, now time.Time) {
+// takeOver starts a new ownership. The upstream starts at the cold limit; where the same process had an owner before, the
+// first report that it is not cold lifts the limit to its slots, less the requests of former owners.
+func (s *Scheduler) takeOver(u *upstream, info Upstream, inherited bool, now time.Time) {
 	u.foreign = info.Remaining
 	if info.OwnerLost {
 		u.foreign = max(info.Slots, info.Remaining)
 	}
 	u.slots = info.Slots
 	s.drop(u)
-	u.inherited = knownBoot
+	u.inherited = inherited
 	u.estimate = newEstimate(now)
 	u.eject = ejection{}
-	// Epoch 1 is the first owner of all.
-	u.probe = newProber(&s.cfg, info.Epoch <= 1, now)
+	u.foreignUntil = now.Add(s.cfg.ForeignTimeout)
+	u.probe = prober{at: now}
 }
 
 func (s *Scheduler) countUsable() {
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -10,6 +10,8 @@
 	Slots  int
 	// Owned is true where this gateway may send work. The others are kept to tell old boot ids from new ones.
 	Owned bool
+	// Assigned is true where any gateway may.
+	Assigned bool
 	// Stopping and Moving upstreams get nothing new.
 	Stopping bool
 	Moving   bool
@@ -38,6 +40,10 @@
 	slots int
 	// foreign is how many requests of former owners may still run.
 	foreign int
+	// foreignUntil is when they have ended for certain.
+	foreignUntil time.Time
+	// carried is true where the present process of the upstream had an owner in some view.
+	carried bool
 	// inherited is true where a former owner may have warmed the upstream up, until a report confirms or denies it.
 	inherited bool
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -16,6 +16,7 @@
 		if !g.deps.Lease.Valid(time.Now()) {
 			return leaseLost()
 		}
+		g.refresh()
 		return next(c)
 	}
 }
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/admission"
@@ -61,14 +62,17 @@
 	}
 	result, err := g.resend(a.ctx, command)
 	if err != nil {
-		g.abandon(c, command)
+		g.abandon(command)
 		a.err = resultcode.Errorf(resultcode.ControlUnavailable, "the claim could not be confirmed, and nothing was sent; resend the request with the same key")
 		return false
 	}
 	switch result.Code {
 	case resultcode.OK:
-	case resultcode.StaleEpoch:
+	case resultcode.StaleEpoch, resultcode.UnknownUpstream:
 		a.elsewhere()
+		if a.claimID = result.ClaimID; a.claimID != 0 {
+			g.release(c, a) // An earlier send of this command was granted, and its result got lost.
+		}
 		return false
 	case resultcode.UnknownSession:
 		a.err = leaseLost()
@@ -100,12 +104,12 @@
 
 // abandon finds out what became of a Begin without a result, and gives the claim up if it was granted: nothing was sent
 // under it, and a resent request would find it running.
-func (g *Gateway) abandon(c *call, command controlstate.BeginClaim) {
+func (g *Gateway) abandon(command controlstate.BeginClaim) {
 	g.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimBackground)
 		defer cancel()
 		result, err := g.resend(ctx, command)
-		if err != nil || result.Code != resultcode.OK || result.Recorded != nil {
+		if err != nil || result.ClaimID == 0 || result.Recorded != nil {
 			return
 		}
 		_ = repeat(ctx, func(ctx context.Context) error {
@@ -136,8 +140,8 @@
 	// The claim must be settled even where the caller is gone or the deadline has passed.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), claimWait)
 	defer cancel()
-	if repeat(ctx, command) == nil {
-		return true
+	if err := repeat(ctx, command); err == nil || refused(err) {
+		return err == nil
 	}
 	g.inBackground(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), claimBackground)
@@ -149,14 +153,27 @@
 	return false
 }
 
-// repeat calls f until it succeeds or ctx ends.
+// refused tells whether the control group has refused a command, so that sending it again is useless.
+func refused(err error) bool {
+	var coded *resultcode.Error
+	if !errors.As(err, &coded) {
+		return false
+	}
+	switch coded.Code {
+	case resultcode.UnknownClaim, resultcode.ClaimOutcomeUnknown, resultcode.ClaimMismatch, resultcode.MalformedRequest:
+		return true
+	}
+	return false
+}
+
+// repeat calls f until it succeeds, is refused, or ctx ends.
 func repeat(ctx context.Context, f func(context.Context) error) error {
 	for pause := claimPause; ; pause = min(2*pause, claimTry) {
 		try, cancel := context.WithTimeout(ctx, claimTry)
 		err := f(try)
 		cancel()
-		if err == nil {
-			return nil
+		if err == nil || refused(err) {
+			return err
 		}
 		timer := time.NewTimer(pause)
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,12 +101,20 @@
 	}
 	g.snapshot.Store(next)
 	for name, s := range g.services {
-		s.update(next.services[name], g.deps.Lease.SessionID())
+		s.update(next.services[name], next.session)
 	}
 	present.closePools(next)
 	present.forgetGone(next)
 }
 
+// refresh applies the present view again if the session changed since: the view that assigns upstreams to a new session may
+// come before the gateway knows of that session.
+func (g *Gateway) refresh() {
+	if present := g.snapshot.Load(); present.session != g.deps.Lease.SessionID() {
+		g.SetView(present.view)
+	}
+}
+
 // SetPeerLoad records a peer's report of its free slots of a service.
 func (g *Gateway) SetPeerLoad(service string, sessionID uint64, freeSlots int) {
 	if sv := g.snapshot.Load().services[service]; sv != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,6 +49,7 @@
 			t: t, is: is.New(t), lease: &fakeLease{}, claims: &fakeClaims{claims: map[controlstate.ClaimKey]*fakeClaim{}},
 			forwarder: &fakeForwarder{}, crashes: &fakeCrashes{}, upstreams: map[string]*fakeUpstream{},
 		}
+		w.forwardTo(fails(0, syscall.EPIPE))
 		w.lease.session.Store(mySession)
 		var err error
 		w.g, err = New(Config{}, Dependencies{
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bramleypick/bramleypick/admission"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -23,10 +24,10 @@
 
 	mu     sync.RWMutex
 	series map[seriesKey]*series
-	// named are the metrics of a service, by service and name.
-	named map[[2]string]metrics.Counter
-	gauge map[string]metrics.Gauge
-	codes map[resultcode.Code]metrics.Counter
+	// counters and gauges are those of a service, by service and name.
+	counters map[[2]string]metrics.Counter
+	gauges   map[[2]string]metrics.Gauge
+	codes    map[resultcode.Code]metrics.Counter
 }
 
 // seriesKey names a combination with metrics of its own.
@@ -42,7 +43,7 @@
 func newInstruments(registry metrics.Registry, maxSeries int) *instruments {
 	return &instruments{
 		registry: registry, maxSeries: maxSeries, series: make(map[seriesKey]*series),
-		named: make(map[[2]string]metrics.Counter), gauge: make(map[string]metrics.Gauge),
+		counters: make(map[[2]string]metrics.Counter), gauges: make(map[[2]string]metrics.Gauge),
 		codes: make(map[resultcode.Code]metrics.Counter),
 	}
 }
@@ -112,10 +113,10 @@
 	key := [2]string{service, name}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	counter := m.named[key]
+	counter := m.counters[key]
 	if counter == nil {
 		counter = metrics.NewCounter()
-		m.named[key] = counter
+		m.counters[key] = counter
 		m.register("gateway."+service+"."+name, counter)
 	}
 	return counter
@@ -124,7 +125,7 @@
 // count adds one to a counter of a service.
 func (m *instruments) count(service, name string) { m.counter(service, name).Inc(1) }
 
-// probe records what a probe cost. The budget is ProbesPerSecond and ProbeBytesPerSecond for each upstream.
+// probe records what a probe cost.
 func (m *instruments) probe(service string, bytes int) {
 	m.counter(service, "probes").Inc(1)
 	m.counter(service, "probe_bytes").Inc(int64(bytes))
@@ -132,13 +133,24 @@
 
 // queue records the present length of a queue.
 func (m *instruments) queue(service string, length int) {
+	m.set(service, "queue", int64(length))
+}
+
+// budget records what the probes of the owned upstreams may cost.
+func (m *instruments) budget(service string, upstreams int, config *admission.Config) {
+	m.set(service, "probe_budget_per_minute", int64(float64(upstreams)*config.ProbesPerSecond*60))
+	m.set(service, "probe_budget_bytes_per_minute", int64(upstreams)*int64(config.ProbeBytesPerSecond)*60)
+}
+
+func (m *instruments) set(service, name string, value int64) {
+	key := [2]string{service, name}
 	m.mu.Lock()
-	gauge := m.gauge[service]
+	gauge := m.gauges[key]
 	if gauge == nil {
 		gauge = metrics.NewGauge()
-		m.gauge[service] = gauge
-		m.register("gateway."+service+".queue", gauge)
+		m.gauges[key] = gauge
+		m.register("gateway."+service+"."+name, gauge)
 	}
 	m.mu.Unlock()
-	gauge.Update(int64(length))
+	gauge.Update(value)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -30,6 +30,9 @@
 	draining   []draining
 }
 
+// foreignMargin covers what an upstream may take to notice that a request's deadline has passed.
+const foreignMargin = time.Second
+
 // batch bounds the events handled between two polls.
 const batch = 64
 
@@ -190,6 +193,9 @@
 		ProbesPerSecond: sv.config.ProbesPerSecond, ProbeBytesPerSecond: sv.config.ProbeBytesPerSecond,
 		Weights: make(map[string]int, len(sv.tenants)), Rand: g.deps.Rand,
 	}
+	for _, class := range sv.config.Classes {
+		c.ForeignTimeout = max(c.ForeignTimeout, time.Duration(class.TimeoutMillis)*time.Millisecond+foreignMargin)
+	}
 	switch sv.config.Policy {
 	case dynconfig.PolicyRandom:
 		c.Policy = admission.PolicyRandom
--- a/internal/gateway/serviceview.go
+++ b/internal/gateway/serviceview.go
@@ -38,7 +38,7 @@
 func (u *update) add(sv *serviceView, v *upstreamView, session uint64) {
 	owned := sv.sendable(v, session)
 	u.upstreams = append(u.upstreams, admission.Upstream{
-		ID: v.ID, BootID: v.BootID, Epoch: v.Epoch, Slots: v.Slots, Owned: owned, Stopping: v.stopping, Moving: sv.moving(v),
+		ID: v.ID, BootID: v.BootID, Epoch: v.Epoch, Slots: v.Slots, Owned: owned, Assigned: v.Owner != 0, Stopping: v.stopping, Moving: sv.moving(v),
 		Remaining: v.Remaining, OwnerLost: v.OwnerLost,
 	})
 	switch {
@@ -71,6 +71,7 @@
 	}
 	s.scheduler.SetConfig(u.config)
 	s.scheduler.SetUpstreams(u.upstreams, now)
+	s.g.metrics.budget(s.name, s.scheduler.Usable(), &u.config)
 }
 
 // notifyDrained reports stopping and moving upstreams with nothing in flight.
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -7,7 +7,9 @@
 
 // snapshot is a view in the form that requests need. It does not change once it is in force.
 type snapshot struct {
-	view     *controlstate.View
+	view *controlstate.View
+	// session is the one whose upstreams this gateway uses.
+	session  uint64
 	services map[string]*serviceView
 }
 
@@ -46,7 +48,8 @@
 }
 
 func (g *Gateway) newSnapshot(v *controlstate.View, former *snapshot) *snapshot {
-	s := &snapshot{view: v, services: make(map[string]*serviceView, len(v.Config.Services))}
+	session := g.deps.Lease.SessionID()
+	s := &snapshot{view: v, session: session, services: make(map[string]*serviceView, len(v.Config.Services))}
 	for i := range v.Config.Services {
 		config := v.Config.Services[i].WithDefaults()
 		s.services[config.Name] = &serviceView{
@@ -54,7 +57,6 @@
 			upstreams: make(map[string]*upstreamView), blocked: make(map[string]int64),
 		}
 	}
-	session := g.deps.Lease.SessionID()
 	for _, info := range v.Upstreams {
 		sv := s.services[info.Service]
 		if sv == nil {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -39,8 +39,9 @@
 	Ejected bool
 }
 
-// Status returns what the gateway holds now.
+// Status returns what the gateway holds now. It also notices a new session, so it is to be called every second or so.
 func (g *Gateway) Status() Status {
+	g.refresh()
 	view := g.snapshot.Load().view
 	status := Status{ViewIndex: view.Index, ConfigVersion: view.ConfigVersion}
 	g.mu.Lock()
--- /dev/null
+++ b/internal/gateway/tries_test.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// Guards against tries beyond the retry budget, on the same upstream, or without need, and against a loser of two tries
+// that keeps its slot.
+func TestTries(t *testing.T) {
+	slowFirst := func(first, second behaviour) behaviour {
+		n := 0
+		return func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+			if n++; n == 1 {
+				return first(u, ctx, r)
+			}
+			return second(u, ctx, r)
+		}
+	}
+	fine, slow := after(4*time.Millisecond, http.StatusOK, "fine"), after(400*time.Millisecond, http.StatusOK, "slow")
+	failed, panics := after(0, http.StatusInternalServerError, "failed"), behaviour(func(*fakeUpstream, context.Context, *http.Request) (*http.Response, ExchangeOutcome, error) {
+		panic("broken connection code")
+	})
+	rows := []struct {
+		description string
+		path        string
+		percent     int
+		serve       behaviour
+		tries       int
+		body        string // Or what the message of a code contains.
+	}{
+		{"fast", "/desk/hedged", 100, fine, 1, "fine"},
+		{"slow, hedged", "/desk/hedged", 100, slowFirst(slow, fine), 2, "fine"},
+		{"slow, no budget", "/desk/hedged", -1, slowFirst(slow, fine), 1, "slow"},
+		{"slow, class without hedges", "/desk/level", 100, slowFirst(slow, fine), 1, "slow"},
+		{"hedge slower than the first", "/desk/hedged", 100, slowFirst(after(60*time.Millisecond, 200, "fine"), slow), 2, "fine"},
+		{"slow, hedge fails", "/desk/hedged", 100, slowFirst(slow, failed), 2, "slow"},
+		{"first fails after the hedge has begun", "/desk/hedged", 100, slowFirst(after(60*time.Millisecond, 500, "failed"), fine), 2, "fine"},
+		{"first fails at once", "/desk/hedged", 100, slowFirst(failed, fine), 2, "fine"},
+		{"failure, retried", "/desk/level", 100, slowFirst(failed, fine), 2, "fine"},
+		{"failure, no budget: the upstream's own response", "/desk/level", -1, failed, 1, "failed"},
+		{"failures on every upstream", "/desk/level", 100, failed, 3, "failed"},
+		{"a response that is not a failure of the upstream", "/desk/level", 100, after(0, http.StatusNotFound, "none"), 1, "none"},
+		{"cut twice: no third upstream", "/desk/level", 100, fails(1, syscall.ECONNRESET), 2, "was cut"},
+		{"panic in one try", "/desk/level", 100, slowFirst(panics, fine), 2, "fine"},
+		{"panic in a hedged try", "/desk/hedged", 100, slowFirst(panics, fine), 2, "fine"},
+	}
+	for _, row := range rows {
+		t.Run(row.description, func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				w.setView(func(v *controlstate.View) {
+					service := v.Config.Services[0]
+					service.RetryPercent = row.percent
+					v.Config.Services = []dynconfig.Service{service}
+				})
+				began := 0
+				used := map[string]bool{}
+				w.each(func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+					w.mu.Lock()
+					began++
+					used[u.id] = true
+					w.mu.Unlock()
+					return row.serve(u, ctx, r)
+				})
+				got := w.do(http.MethodGet, row.path)
+				synctest.Wait()
+				w.is.True(strings.Contains(got.body, row.body))
+				w.is.Equal(began, row.tries)
+				w.is.Equal(len(used), row.tries) // Each on another upstream.
+				w.is.Equal(w.inFlight(), 0)
+			})
+		})
+	}
+}
+
+// Guards against upstreams that stay unused because their assignment became visible before the session did.
+func TestSessionKnownAfterItsView(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.setView(func(v *controlstate.View) {
+			for i := range v.Upstreams {
+				v.Upstreams[i].Owner, v.Upstreams[i].Epoch = 9, 2
+			}
+		})
+		w.is.Equal(w.get().code, resultcode.OutcomeUnknown) // Forwarded, because another session seems to own them.
+		w.lease.session.Store(9)
+		w.is.Equal(w.get().body, "fine")
+	})
+}
+
+// Guards against a queue without bound, and against losing the higher priority when it is full.
+func TestBackpressure(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.setView(func(v *controlstate.View) {
+			service := v.Config.Services[0]
+			service.Classes = append([]dynconfig.Class(nil), service.Classes...)
+			service.Classes[1].Priority = 1
+			v.Config.Services = []dynconfig.Service{service}
+		})
+		w.each(after(100*time.Millisecond, http.StatusOK, "fine"))
+		wait := several(40, w.get)
+		w.is.Equal(w.g.Status().Services[0].Queued, 20)
+		urgent := several(5, func() answer { return w.callout(strconv.Itoa(rand.Int())) })
+		codes := map[resultcode.Code]int{}
+		for _, a := range wait() {
+			codes[a.code]++
+		}
+		w.is.Equal(codes, map[resultcode.Code]int{resultcode.OK: 24, resultcode.QueueFull: 11, resultcode.ShedByPriority: 5})
+		for _, a := range urgent() {
+			w.is.Equal(a.body, "fine")
+		}
+	})
+}
+
+// Guards against series without bound, which a caller could cause with the headers it sends.
+func TestBoundedMetrics(t *testing.T) {
+	inWorld(t, func(w *world) {
+		m := w.g.metrics
+		for i := range 3 * DefaultMaxSeries {
+			m.of(seriesKey{"desk", "level", strconv.Itoa(i)}).requests.Inc(1)
+		}
+		w.is.True(len(m.series) <= DefaultMaxSeries+1)
+		w.is.Equal(m.of(seriesKey{"desk", "level", "new"}).requests.Count(), int64(2*DefaultMaxSeries))
+	})
+}
+
+// Guards against faults in combinations that no table lists: requests of all kinds under random failures of upstreams,
+// claims, leases and changes of the view keep the invariants.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			inWorld(t, func(w *world) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				serves := []behaviour{
+					after(4*time.Millisecond, http.StatusOK, "fine"), after(300*time.Millisecond, http.StatusOK, "fine"),
+					after(0, http.StatusInternalServerError, "failed"), changed(http.StatusServiceUnavailable, "", notRun),
+					fails(0, syscall.EPIPE), fails(1, syscall.ECONNRESET), changed(http.StatusOK, "fine", cutAfter(1)),
+					changed(http.StatusOK, "fine", chunked),
+				}
+				var waits []func() []answer
+				for i := range 60 {
+					id := []string{"n1", "n2", "s1"}[random.IntN(3)]
+					switch random.IntN(9) {
+					case 0, 1, 2:
+						w.upstream(id).set(serves[random.IntN(len(serves))])
+					case 3:
+						w.stopZone([]string{"", "north", "south"}[random.IntN(3)])
+					case 4:
+						w.lease.lost.Store(random.IntN(4) == 0)
+					case 5:
+						w.claims.mu.Lock()
+						w.claims.lostResults = random.IntN(3)
+						w.claims.mu.Unlock()
+					case 6:
+						w.setView(func(v *controlstate.View) {
+							u := v.Upstream(id)
+							u.Epoch++
+							u.Owner = uint64(mySession + random.IntN(2)*(peerSession-mySession))
+							u.OwnerLost = random.IntN(2) == 0
+						})
+					}
+					key := strconv.Itoa(i / 3)
+					waits = append(waits, several(1+random.IntN(4), w.get), several(random.IntN(3), func() answer { return w.callout(key) }),
+						several(1, func() answer { return w.do(http.MethodGet, "/desk/hedged") }))
+					time.Sleep(time.Duration(random.IntN(50)) * time.Millisecond)
+				}
+				for _, wait := range waits {
+					for _, a := range wait() {
+						if a.code == 0 && a.status == http.StatusOK && !a.aborted {
+							w.is.Equal(a.body, "fine")
+						}
+					}
+				}
+				time.Sleep(time.Minute)
+				synctest.Wait()
+				w.is.Equal(w.inFlight(), 0)
+				w.is.Equal(w.g.Status().Services[0].Queued, 0)
+				unsent := 0
+				for _, id := range []string{"n1", "n2", "s1"} {
+					u := w.upstream(id)
+					w.is.True(u.most <= 3) // Never more than its slots.
+					w.is.Equal(u.stale, 0)
+					unsent += u.inFlight
+				}
+				w.is.Equal(unsent, 0)
+				for _, claim := range w.claims.claims {
+					w.is.True(claim.done) // None is left running.
+				}
+			})
+		})
+	}
+}
