--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -64,7 +64,7 @@
 }
 
 func (c *call) writeReplay(answer *controlstate.Answer) error {
-	copyHeader(c, answer.Header)
+	copyHeader(c, http.Header(answer.Header).Clone()) // Others may replay the same answer now.
 	c.w.Header().Set(headerReplayed, "1")
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	c.w.WriteHeader(answer.Status)
--- a/internal/gateway/tries_test.go
+++ b/internal/gateway/tries_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -20,9 +21,9 @@
 // that keeps its slot.
 func TestTries(t *testing.T) {
 	slowFirst := func(first, second behaviour) behaviour {
-		n := 0
+		var n atomic.Int32
 		return func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
-			if n++; n == 1 {
+			if n.Add(1) == 1 {
 				return first(u, ctx, r)
 			}
 			return second(u, ctx, r)
@@ -188,11 +189,15 @@
 				unsent := 0
 				for _, id := range []string{"n1", "n2", "s1"} {
 					u := w.upstream(id)
+					u.mu.Lock()
 					w.is.True(u.most <= 3) // Never more than its slots.
 					w.is.Equal(u.stale, 0)
 					unsent += u.inFlight
+					u.mu.Unlock()
 				}
 				w.is.Equal(unsent, 0)
+				w.claims.mu.Lock()
+				defer w.claims.mu.Unlock()
 				for _, claim := range w.claims.claims {
 					w.is.True(claim.done) // None is left running.
 				}
