--- a/admission/config.go
+++ b/admission/config.go
@@ -24,7 +24,7 @@
 // Config holds the settings of one service.
 type Config struct {
 	Policy Policy
-	// QueueLimit bounds the waiting requests. Zero means that none may wait.
+	// QueueLimit bounds the waiting requests. At least 1 is used.
 	QueueLimit int
 	// TenantLimit bounds the waiting requests of one tenant. Zero means no limit of its own.
 	TenantLimit int
--- a/admission/poll.go
+++ b/admission/poll.go
@@ -7,9 +7,6 @@
 
 // Poll returns the dispatches, rejections and probes that are due.
 func (s *Scheduler) Poll(now time.Time) Actions {
-	s.out.Wake = time.Time{}
-	s.out.Dispatches = s.out.Dispatches[:0]
-	s.out.Probes = s.out.Probes[:0]
 	s.endEjections(now)
 	s.endForeign(now)
 	s.expire(now)
@@ -21,8 +18,8 @@
 		s.wakeAtEjections(now)
 	}
 	out := s.out
-	// Rejections made before the next Poll must not overwrite those returned now.
-	s.out.Rejections = nil
+	// What is decided before the next Poll must not overwrite what is returned now.
+	s.out, s.spare = s.spare.emptied(), out
 	return out
 }
 
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+// Guards against refusing requests that free slots are waiting for, because many came between two polls.
+func TestBurstBetweenPolls(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig()
+	cfg.QueueLimit, cfg.ColdSlots = 2, 3
+	b := newBench(t, cfg, owned("u"))
+	for i := range 6 {
+		b.s.Enqueue(&Request{Value: strconv.Itoa(i)}, b.now)
+	}
+	b.poll()
+	is.Equal(b.served, []string{"0", "1", "2"})
+	is.Equal(b.rejected, map[string]Reason{"5": ReasonQueueFull})
+}
+
 // Guards against work reaching an upstream that gets nothing new, and against requests waiting for nothing.
 func TestNothingNewForLeavingUpstreams(t *testing.T) {
 	for description, change := range map[string]func(*Upstream){
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -16,7 +16,8 @@
 	// nextDeadline is no later than the earliest deadline in the queue.
 	nextDeadline time.Time
 	lastID       uint64
-	out          Actions
+	// out collects the actions of the next Poll; spare holds the memory of the last one.
+	out, spare Actions
 }
 
 // Actions are what Poll asks for. The slices are valid until the next Poll.
@@ -28,6 +29,11 @@
 	Wake time.Time
 }
 
+// emptied returns the same memory without actions.
+func (a Actions) emptied() Actions {
+	return Actions{Dispatches: a.Dispatches[:0], Rejections: a.Rejections[:0], Probes: a.Probes[:0]}
+}
+
 // New returns a scheduler without upstreams.
 func New(cfg Config) *Scheduler {
 	s := &Scheduler{upstreams: make(map[string]*upstream), classes: make(classes), queue: newQueue()}
@@ -48,8 +54,12 @@
 		s.reject(r, ReasonNoUpstream)
 		return
 	}
-	if s.cfg.Policy == PolicyOwner && !r.NoQueue && !s.makeRoom(r) {
-		return
+	if s.cfg.Policy == PolicyOwner && !r.NoQueue && s.full(r) {
+		// Requests that came since the last Poll may have free slots waiting for them.
+		s.dispatch(now)
+		if s.full(r) && !s.makeRoom(r) {
+			return
+		}
 	}
 	s.queue.push(r)
 	if !r.Deadline.IsZero() && (s.nextDeadline.IsZero() || r.Deadline.Before(s.nextDeadline)) {
@@ -60,13 +70,19 @@
 // makeRoom displaces a request of a lower priority if the queue or the tenant is at its limit. It rejects r and returns
 // false if there is none.
 func (s *Scheduler) makeRoom(r *Request) bool {
-	if limit := s.cfg.TenantLimit; limit > 0 && s.queue.tenantSize[r.Tenant] >= limit {
+	if s.tenantFull(r) {
 		return s.displace(r, true, ReasonTenantLimit)
 	}
-	if s.queue.size >= max(1, s.cfg.QueueLimit) {
-		return s.displace(r, false, ReasonQueueFull)
-	}
-	return true
+	return s.displace(r, false, ReasonQueueFull)
+}
+
+// full tells whether the queue or the tenant is at its limit.
+func (s *Scheduler) full(r *Request) bool {
+	return s.tenantFull(r) || s.queue.size >= max(1, s.cfg.QueueLimit)
+}
+
+func (s *Scheduler) tenantFull(r *Request) bool {
+	return s.cfg.TenantLimit > 0 && s.queue.tenantSize[r.Tenant] >= s.cfg.TenantLimit
 }
 
 func (s *Scheduler) displace(r *Request, sameTenant bool, otherwise Reason) bool {
