--- a/admission/config.go
+++ b/admission/config.go
@@ -24,7 +24,7 @@
 // Config holds the settings of one service.
 type Config struct {
 	Policy Policy
-	// QueueLimit bounds the waiting requests. Zero means that none may wait.
+	// QueueLimit bounds the waiting requests. At least 1 is used.
 	QueueLimit int
 	// TenantLimit bounds the waiting requests of one tenant. Zero means no limit of its own.
 	TenantLimit int
@@ -35,6 +35,9 @@
 	// ProbesPerSecond and ProbeBytesPerSecond are the measurement budget of each upstream. Zero means no probes.
 	ProbesPerSecond     float64
 	ProbeBytesPerSecond int
+	// ForeignTimeout is how long after a new ownership requests of former owners can still run, because their deadlines
+	// have passed by then. Zero means that only load reports show their end.
+	ForeignTimeout time.Duration
 	// Weights are the shares of tenants; a tenant that is missing has weight 1.
 	Weights map[string]int
 	// Rand returns a random number in [0, n). Required by the baseline policies only.
