--- a/controlstate/applyconfig.go
+++ b/controlstate/applyconfig.go
@@ -31,7 +31,7 @@
 	if c.BaseVersion == s.configVersion {
 		r = Result{}
 		m.noteHorizons(&config)
-		s.config, s.configJSON, s.configDigest = config, canonical, digest
+		s.setConfig(config, canonical)
 		s.configVersion++
 		m.removeOrphans()
 		m.changed()
--- a/controlstate/assign.go
+++ b/controlstate/assign.go
@@ -15,7 +15,7 @@
 		return Result{Epoch: u.Epoch} // A resend of the command that gave it the upstream.
 	case u.Epoch != c.Epoch:
 		return staleEpoch(u)
-	case m.state.config.Service(u.Service) == nil:
+	case m.state.services[u.Service] == nil:
 		return failed(resultcode.UnknownService, "the configuration has no service %q", u.Service)
 	case u.Owner == 0:
 		m.setOwner(u, c.SessionID)
@@ -45,7 +45,7 @@
 		return staleEpoch(u)
 	}
 	to := u.MovingTo
-	if next := m.state.sessions.byID[to]; next == nil || next.Leaving || m.state.config.Service(u.Service) == nil {
+	if next := m.state.sessions.byID[to]; next == nil || next.Leaving || m.state.services[u.Service] == nil {
 		to = 0
 	}
 	u.Remaining, u.OwnerLost = c.Remaining, false
--- a/controlstate/crashes.go
+++ b/controlstate/crashes.go
@@ -109,7 +109,7 @@
 	if !within(c.Fingerprint, 1, maxIDBytes) || !within(c.UpstreamID, 1, dynconfig.MaxNameBytes) || !within(c.BootID, 1, maxIDBytes) {
 		return failed(resultcode.MalformedRequest, "a field of the crash report is empty or too long")
 	}
-	if s.config.Service(c.Service) == nil {
+	if s.services[c.Service] == nil {
 		return failed(resultcode.UnknownService, "the configuration has no service %+q", c.Service)
 	}
 	r := s.crashes.record(crashKey{c.Service, c.Fingerprint})
--- a/controlstate/horizons.go
+++ b/controlstate/horizons.go
@@ -53,9 +53,10 @@
 			delete(s.horizons, service)
 		}
 	}
+	later := servicesByName(next)
 	for i := range s.config.Services {
 		name := s.config.Services[i].Name
-		before, after := claimRoutes(&s.config.Services[i]), claimRoutes(next.Service(name))
+		before, after := claimRoutes(&s.config.Services[i]), claimRoutes(later[name])
 		if len(before) == 0 || slices.Equal(before, after) {
 			continue
 		}
--- a/controlstate/machine.go
+++ b/controlstate/machine.go
@@ -39,6 +39,7 @@
 	configJSON    []byte // Canonical.
 	configVersion uint64
 	configDigest  string
+	services      map[string]*dynconfig.Service // Of config, by name: there may be thousands.
 
 	changes   changeTable
 	sessions  sessionTable
@@ -132,6 +133,19 @@
 	}
 }
 
+func (s *state) setConfig(config dynconfig.Config, canonical []byte) {
+	s.config, s.configJSON, s.configDigest = config, canonical, dynconfig.Digest(canonical)
+	s.services = servicesByName(&config)
+}
+
+func servicesByName(config *dynconfig.Config) map[string]*dynconfig.Service {
+	services := make(map[string]*dynconfig.Service, len(config.Services))
+	for i := range config.Services {
+		services[config.Services[i].Name] = &config.Services[i]
+	}
+	return services
+}
+
 // changed records that something visible to gateways changed.
 func (m *Machine) changed() {
 	m.state.viewIndex = m.state.index
--- a/controlstate/plan.go
+++ b/controlstate/plan.go
@@ -1,41 +1,63 @@
 package controlstate
 
-import "github.com/bramleypick/bramleypick/placement"
+import (
+	"slices"
 
-// plan caches the assignments planned for a view.
+	"github.com/bramleypick/bramleypick/placement"
+)
+
+// plan caches the assignments planned for a view, and the gateways of each service, which change less often.
 type plan struct {
 	view     *View
+	gateways map[string][]SessionInfo
 	commands []Command
 }
 
 // PlanAssignments returns the Assign commands that the leader should propose now, sorted by service and upstream: for
 // upstreams without owner, whose owner is leaving or no longer serves the service, and to even out the counts. It returns
 // none for an upstream whose hand-over is under way. AtUnixMilli is not set; the leader stamps it. The result is shared;
-// callers copy a command before they change it.
+// callers copy a command before they change it. The plan is made without the lock, so that it does not delay Apply.
 func (m *Machine) PlanAssignments() []Command {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if v := m.currentView(); m.plan.view != v {
-		m.plan = plan{view: v, commands: planAssignments(v)}
+	v, last := m.currentView(), m.plan
+	m.mu.Unlock()
+	if last.view == v {
+		return last.commands
 	}
-	return m.plan.commands
+	next := makePlan(v, last)
+	m.mu.Lock()
+	m.plan = next
+	m.mu.Unlock()
+	return next.commands
 }
 
-func planAssignments(v *View) []Command {
+func makePlan(v *View, last plan) plan {
+	next := plan{view: v, gateways: last.gateways}
+	if last.view == nil || last.view.ConfigVersion != v.ConfigVersion || !slices.Equal(last.view.Sessions, v.Sessions) {
+		next.gateways = gatewaysByService(v)
+	}
 	byService := make(map[string][]*UpstreamInfo)
 	for i := range v.Upstreams {
 		u := &v.Upstreams[i]
 		byService[u.Service] = append(byService[u.Service], u)
 	}
-	gateways := servingGateways(v)
-	var commands []Command
 	for i := range v.Config.Services {
-		service := &v.Config.Services[i]
-		if upstreams := byService[service.Name]; len(upstreams) > 0 {
-			commands = append(commands, planService(gateways.forService(service), upstreams)...)
+		name := v.Config.Services[i].Name
+		if upstreams := byService[name]; len(upstreams) > 0 {
+			next.commands = append(next.commands, planService(next.gateways[name], upstreams)...)
 		}
 	}
-	return commands
+	return next
+}
+
+func gatewaysByService(v *View) map[string][]SessionInfo {
+	set := servingGateways(v)
+	gateways := make(map[string][]SessionInfo, len(v.Config.Services))
+	for i := range v.Config.Services {
+		s := &v.Config.Services[i]
+		gateways[s.Name] = set.forService(s)
+	}
+	return gateways
 }
 
 func planService(sessions []SessionInfo, upstreams []*UpstreamInfo) []Command {
--- a/controlstate/restore.go
+++ b/controlstate/restore.go
@@ -38,7 +38,7 @@
 		if err != nil {
 			return s, errors.Wrap(err, "decode the configuration of a snapshot")
 		}
-		s.config, s.configJSON, s.configDigest = config, snap.ConfigJSON, dynconfig.Digest(snap.ConfigJSON)
+		s.setConfig(config, snap.ConfigJSON)
 	}
 	for _, r := range snap.Changes {
 		if r == nil {
--- a/controlstate/upstreams.go
+++ b/controlstate/upstreams.go
@@ -40,7 +40,7 @@
 	if message := c.fault(); message != "" {
 		return failed(resultcode.MalformedRequest, "%s", message)
 	}
-	service := m.state.config.Service(c.Service)
+	service := m.state.services[c.Service]
 	switch {
 	case service == nil:
 		return failed(resultcode.UnknownService, "the configuration has no service %q", c.Service)
@@ -133,7 +133,7 @@
 }
 
 func (m *Machine) removeIfOrphan(u *UpstreamInfo) {
-	if u.Owner == 0 && m.state.config.Service(u.Service) == nil {
+	if u.Owner == 0 && m.state.services[u.Service] == nil {
 		m.state.upstreams.remove(u)
 	}
 }
--- a/controlstate/upstreams_test.go
+++ b/controlstate/upstreams_test.go
@@ -198,3 +198,15 @@
 	check(6, func(s controlstate.SessionInfo) bool { return s.SessionID != restarted.SessionID })
 	is.Equal(controlstate.GatewaysFor(r.m.View(), "nothing"), nil)
 }
+
+// Guards against open ids that are kept for ever, and against one that is forgotten while a copy may still arrive.
+func TestOpenIDsAreForgotten(t *testing.T) {
+	r := newReplica(t, controlstate.Options{})
+	first := r.open("gw", "a")
+	r.ok(controlstate.ExpireSession{SessionID: first})
+	r.now += hour
+	r.is.Equal(r.do(openSession("gw", "a")).Code, resultcode.UnknownSession)
+	r.is.Equal(r.do(openSession("gw", "b")).Code, resultcode.ChangeIDReused)
+	r.now++
+	r.is.True(r.open("gw", "b") != first)
+}
--- a/dynconfig/decode.go
+++ b/dynconfig/decode.go
@@ -24,7 +24,7 @@
 	if len(data) > MaxConfigBytes {
 		return c, Faults{{"$", fmt.Sprintf("%d bytes", len(data)), fmt.Sprintf("at most %d bytes", MaxConfigBytes)}}
 	}
-	k := checker{decoder: json.NewDecoder(bytes.NewReader(data))}
+	k := checker{decoder: json.NewDecoder(bytes.NewReader(data)), fields: make(map[reflect.Type]map[string]reflect.Type)}
 	k.decoder.UseNumber()
 	err := k.value("$", reflect.TypeFor[Config]())
 	if err == nil {
@@ -52,6 +52,7 @@
 type checker struct {
 	decoder *json.Decoder
 	faults  Faults
+	fields  map[reflect.Type]map[string]reflect.Type // Fields of each struct type by JSON name.
 }
 
 func (k *checker) fault(path, value, allowed string) {
@@ -82,7 +83,7 @@
 }
 
 func (k *checker) object(path string, t reflect.Type) error {
-	fields := fieldTypes(t)
+	fields := k.fieldTypes(t)
 	var seen []string
 	for k.decoder.More() {
 		token, err := k.decoder.Token()
@@ -147,12 +148,16 @@
 	return nil
 }
 
-func fieldTypes(t reflect.Type) map[string]reflect.Type {
+func (k *checker) fieldTypes(t reflect.Type) map[string]reflect.Type {
+	if fields := k.fields[t]; fields != nil {
+		return fields
+	}
 	fields := make(map[string]reflect.Type, t.NumField())
 	for f := range t.Fields() {
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 		fields[name] = f.Type
 	}
+	k.fields[t] = fields
 	return fields
 }
 
