--- /dev/null
+++ b/examples/idrovigile/main_test.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+)
+
+// Guards against an example that is refused, or that sheds or repeats what must run once.
+func TestDeclare(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	is.NoErr(declare(&out))
+	config, err := dynconfig.Parse(out.Bytes())
+	is.NoErr(err)
+	is.Equal(len(config.Zones), 3)
+	is.Equal(len(config.Services), 3)
+	once := config.Service("dispatch").Class("POST", "/dispatch/callouts/7")
+	is.Equal(once.Name, "callout")
+	for _, s := range config.Services {
+		for _, c := range s.Classes {
+			is.True(!c.Idempotent || c.Priority < once.Priority)
+			is.True(c.Idempotent || c.Priority == once.Priority && c.HedgeAfterMillis == 0)
+		}
+	}
+}
