dynconfig: test faults, strict decoding and canonical bytes

The tests found a negative horizon that passed together with a negative timeout, and an upstream stop that counted as the stop of an unnamed zone.

--- a/dynconfig/validate.go
+++ b/dynconfig/validate.go
@@ -101,7 +101,7 @@
 			v.add(path, s.Zone+s.Upstream, "a stop that is declared once")
 		}
 		seen[s] = true
-		if zones[s.Zone] {
+		if s.Zone != "" && zones[s.Zone] {
 			stoppedZones[s.Zone] = true
 		}
 	}
--- a/dynconfig/validate_service.go
+++ b/dynconfig/validate_service.go
@@ -92,7 +92,7 @@
 		v.add(path+".hedge_after_ms", c.HedgeAfterMillis, "0 in a class that is not idempotent")
 	}
 	// A horizon below the deadline would drop the claim of a request that may still run.
-	low := int64(c.WithDefaults().TimeoutMillis)
+	low := max(1, int64(c.WithDefaults().TimeoutMillis))
 	if h := c.KeyHorizonMillis; h != 0 && (h < low || h > MaxKeyHorizonMillis) {
 		v.add(path+".key_horizon_ms", h, fmt.Sprintf("0, or from the class's timeout (%d) to %d", low, MaxKeyHorizonMillis))
 	}
