controlstate: tell malformed commands from malformed requests

malformed_request is about headers of requests. Faults of announcements and changes are malformed_body, those of internal commands malformed_command.

--- a/controlstate/applyconfig.go
+++ b/controlstate/applyconfig.go
@@ -10,7 +10,7 @@
 func (m *Machine) applyConfig(c *ApplyConfig) Result {
 	s := &m.state
 	if !within(c.ChangeID, 1, maxIDBytes) {
-		return m.configResult(resultcode.MalformedRequest, "the change id must have 1 to 128 bytes")
+		return m.configResult(resultcode.MalformedBody, "the change id must have 1 to 128 bytes")
 	}
 	first := s.changes.byID[c.ChangeID]
 	config, canonical, err := parseConfig(c.JSON)
--- a/controlstate/assign.go
+++ b/controlstate/assign.go
@@ -38,7 +38,7 @@
 	case !m.state.sessions.alive(c.SessionID):
 		return unknownSession(c.SessionID)
 	case c.Remaining < 0 || c.Remaining > maxRemaining:
-		return failed(resultcode.MalformedRequest, "remaining is %d, outside 0 to %d", c.Remaining, maxRemaining)
+		return failed(resultcode.MalformedCommand, "remaining is %d, outside 0 to %d", c.Remaining, maxRemaining)
 	case u == nil:
 		return unknownUpstream(c.UpstreamID)
 	case u.Owner != c.SessionID || u.Epoch != c.Epoch:
--- a/controlstate/claims.go
+++ b/controlstate/claims.go
@@ -133,7 +133,7 @@
 	case found == nil || found.id != c.ClaimID || found.state == claimReleased:
 		return unknownClaim(c.ClaimID)
 	case c.Answer != nil && (c.Answer.Status < 100 || c.Answer.Status > 999):
-		return failed(resultcode.MalformedRequest, "the answer has the status %d", c.Answer.Status)
+		return failed(resultcode.MalformedCommand, "the answer has the status %d", c.Answer.Status)
 	case c.Answer == nil:
 		if found.state == claimRunning {
 			t.resolve(found, claimUnknown, nil)
--- a/controlstate/claims_test.go
+++ b/controlstate/claims_test.go
@@ -114,7 +114,7 @@
 		{"answer after release", controlstate.FinishClaim{Key: released.Key, ClaimID: id3, Answer: first}, resultcode.UnknownClaim},
 		{"other claim id", controlstate.ReleaseClaim{Key: released.Key, ClaimID: id1}, resultcode.UnknownClaim},
 		{"unknown key", controlstate.ReleaseClaim{Key: controlstate.ClaimKey{Service: "x"}, ClaimID: id1}, resultcode.UnknownClaim},
-		{"bad status", controlstate.FinishClaim{Key: answered.Key, ClaimID: id1, Answer: &controlstate.Answer{}}, resultcode.MalformedRequest},
+		{"bad status", controlstate.FinishClaim{Key: answered.Key, ClaimID: id1, Answer: &controlstate.Answer{}}, resultcode.MalformedCommand},
 	} {
 		if got := r.do(test.body).Code; got != test.code {
 			t.Errorf("%s: got %v, want %v", test.description, got, test.code)
--- a/controlstate/config_test.go
+++ b/controlstate/config_test.go
@@ -87,7 +87,7 @@
 		change      controlstate.ApplyConfig
 		code        resultcode.Code
 	}{
-		{"no change id", controlstate.ApplyConfig{BaseVersion: 1, JSON: encodeConfig(t, testConfig())}, resultcode.MalformedRequest},
+		{"no change id", controlstate.ApplyConfig{BaseVersion: 1, JSON: encodeConfig(t, testConfig())}, resultcode.MalformedBody},
 		{"not JSON", controlstate.ApplyConfig{BaseVersion: 1, ChangeID: "x", JSON: []byte("{")}, resultcode.InvalidConfiguration},
 		{"invalid", controlstate.ApplyConfig{BaseVersion: 1, ChangeID: "x", JSON: []byte(`{"zones":[],"services":[]}`)}, resultcode.InvalidConfiguration},
 		{"older base", controlstate.ApplyConfig{ChangeID: "x", JSON: encodeConfig(t, testConfig())}, resultcode.VersionConflict},
--- a/controlstate/crashes.go
+++ b/controlstate/crashes.go
@@ -107,7 +107,7 @@
 func (m *Machine) reportCrash(c *ReportCrash) Result {
 	s := &m.state
 	if !within(c.Fingerprint, 1, maxIDBytes) || !within(c.UpstreamID, 1, dynconfig.MaxNameBytes) || !within(c.BootID, 1, maxIDBytes) {
-		return failed(resultcode.MalformedRequest, "a field of the crash report is empty or too long")
+		return failed(resultcode.MalformedCommand, "a field of the crash report is empty or too long")
 	}
 	if s.services[c.Service] == nil {
 		return failed(resultcode.UnknownService, "the configuration has no service %+q", c.Service)
--- a/controlstate/crashes_test.go
+++ b/controlstate/crashes_test.go
@@ -22,7 +22,7 @@
 	until := r.now + 10*60*1000
 	r.is.Equal(r.m.View().Blocked, []controlstate.BlockedFingerprint{{Service: "dispatch", Fingerprint: "f", UntilUnixMilli: until}})
 	r.is.Equal(r.do(controlstate.ReportCrash{Service: "x", Fingerprint: "f", UpstreamID: "u", BootID: "b"}).Code, resultcode.UnknownService)
-	r.is.Equal(r.do(report("", "u", "b")).Code, resultcode.MalformedRequest)
+	r.is.Equal(r.do(report("", "u", "b")).Code, resultcode.MalformedCommand)
 	r.now = until
 	r.ok(report("g", "u2", "b1"))
 	r.is.Equal(len(r.m.View().Blocked), 0)
--- a/controlstate/sessions.go
+++ b/controlstate/sessions.go
@@ -37,7 +37,7 @@
 	t := &m.state.sessions
 	if !within(c.Gateway, 1, maxIDBytes) || !within(c.OpenID, 1, maxIDBytes) || !within(c.Zone, 1, maxIDBytes) ||
 		!within(c.CallerAddress, 0, maxAddressBytes) || !within(c.PeerAddress, 0, maxAddressBytes) {
-		return failed(resultcode.MalformedRequest, "a field of the session is empty or too long")
+		return failed(resultcode.MalformedCommand, "a field of the session is empty or too long")
 	}
 	info := SessionInfo{
 		SessionID: m.state.index, Gateway: c.Gateway, Zone: c.Zone,
--- a/controlstate/upstreams.go
+++ b/controlstate/upstreams.go
@@ -38,7 +38,7 @@
 func (m *Machine) registerUpstream(c *RegisterUpstream) Result {
 	t := &m.state.upstreams
 	if message := c.fault(); message != "" {
-		return failed(resultcode.MalformedRequest, "%s", message)
+		return failed(resultcode.MalformedBody, "%s", message)
 	}
 	service := m.state.services[c.Service]
 	switch {
--- a/controlstate/upstreams_test.go
+++ b/controlstate/upstreams_test.go
@@ -27,14 +27,14 @@
 		{"id of another service", func(u *controlstate.RegisterUpstream) { u.Service = "lookup" }, resultcode.UpstreamAddressInUse},
 		{"unknown service", func(u *controlstate.RegisterUpstream) { u.Service = "x" }, resultcode.UnknownService},
 		{"unknown zone", func(u *controlstate.RegisterUpstream) { u.Zone = "x" }, resultcode.UnknownZone},
-		{"unsafe id", func(u *controlstate.RegisterUpstream) { u.ID = "../x" }, resultcode.MalformedRequest},
-		{"no boot id", func(u *controlstate.RegisterUpstream) { u.BootID = "" }, resultcode.MalformedRequest},
-		{"host name", func(u *controlstate.RegisterUpstream) { u.Address = "host:80" }, resultcode.MalformedRequest},
-		{"no port", func(u *controlstate.RegisterUpstream) { u.Address = "10.1.0.1:0" }, resultcode.MalformedRequest},
-		{"second spelling", func(u *controlstate.RegisterUpstream) { u.Address = "[::ffff:10.1.0.1]:8080" }, resultcode.MalformedRequest},
-		{"no slots", func(u *controlstate.RegisterUpstream) { u.Slots = 0 }, resultcode.MalformedRequest},
-		{"too many slots", func(u *controlstate.RegisterUpstream) { u.Slots = 10_001 }, resultcode.MalformedRequest},
-		{"no connections", func(u *controlstate.RegisterUpstream) { u.MaxConnections = 0 }, resultcode.MalformedRequest},
+		{"unsafe id", func(u *controlstate.RegisterUpstream) { u.ID = "../x" }, resultcode.MalformedBody},
+		{"no boot id", func(u *controlstate.RegisterUpstream) { u.BootID = "" }, resultcode.MalformedBody},
+		{"host name", func(u *controlstate.RegisterUpstream) { u.Address = "host:80" }, resultcode.MalformedBody},
+		{"no port", func(u *controlstate.RegisterUpstream) { u.Address = "10.1.0.1:0" }, resultcode.MalformedBody},
+		{"second spelling", func(u *controlstate.RegisterUpstream) { u.Address = "[::ffff:10.1.0.1]:8080" }, resultcode.MalformedBody},
+		{"no slots", func(u *controlstate.RegisterUpstream) { u.Slots = 0 }, resultcode.MalformedBody},
+		{"too many slots", func(u *controlstate.RegisterUpstream) { u.Slots = 10_001 }, resultcode.MalformedBody},
+		{"no connections", func(u *controlstate.RegisterUpstream) { u.MaxConnections = 0 }, resultcode.MalformedBody},
 	} {
 		t.Run(test.description, func(t *testing.T) {
 			r, before := ready(t, controlstate.Options{})
