Cover the remaining rules of the connection pool by tests

Removing single rules from a scratch copy showed that five were not covered: a body closed before its end, a connection released after another one was silent or past the idle limit, 100 Continue without delay, a silent new connection, and a slow client. Each has a test now.

--- a/internal/upstreamconn/invariant_test.go
+++ b/internal/upstreamconn/invariant_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -142,6 +143,8 @@
 		{"closed while idle", answer(ok+"first", true), nil, nil, "first", false, awaitArrival},
 		{"asked to close", answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nfirst", false), nil,
 			nil, "first", false, nil},
+		{"body closed before its end", answer(ok+"fir", false), func(r *http.Request) { r.Header.Set("Read-Only", "3") }, nil,
+			"fir", false, nil},
 		{"short body", answer(ok+"fir", true), nil, ErrCut, "fir", false, nil},
 		{"short chunked body", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfir\r\n", true), nil,
 			ErrCut, "fir", false, nil},
@@ -220,6 +223,11 @@
 		return "", out, err
 	}
 	defer resp.Body.Close()
+	if limit, err := strconv.Atoi(r.Header.Get("Read-Only")); err == nil { // the caller gives up after so many bytes
+		data := make([]byte, limit)
+		_, err = io.ReadFull(resp.Body, data)
+		return string(data), out, err
+	}
 	data, err := io.ReadAll(resp.Body)
 	return string(data), out, err
 }
--- a/internal/upstreamconn/pool_test.go
+++ b/internal/upstreamconn/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -49,14 +50,25 @@
 	}
 }
 
-func get(p *Pool, timeout time.Duration) (Outcome, error) {
+func get(p *Pool, fresh bool, timeout time.Duration) (Outcome, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	r, err := http.NewRequest("GET", "http://upstream/status", nil)
 	if err != nil {
 		return Outcome{}, err
 	}
-	_, out, err := call(ctx, p, r)
+	if !fresh {
+		_, out, err := call(ctx, p, r)
+		return out, err
+	}
+	c, err := p.Connect(ctx, true)
+	if err != nil {
+		return Outcome{}, err
+	}
+	resp, out, err := c.Exchange(ctx, r)
+	if err == nil {
+		resp.Body.Close()
+	}
 	return out, err
 }
 
@@ -66,29 +78,32 @@
 	for _, test := range []struct {
 		description string
 		frozen      bool // the open connections stop answering
+		fresh       bool // the request is sent on a new connection
 		service     time.Duration
 		meanwhile   bool // a new connection is used at the same time
 		err         error
 	}{
-		{"silent connection, upstream answers others", true, 0, true, ErrSilent},
-		{"silent connection, nothing else known", true, 0, false, ErrTimeout},
-		{"slow upstream", false, time.Minute, true, ErrTimeout},
+		{"silent connection, upstream answers others", true, false, 0, true, ErrSilent},
+		{"silent connection, nothing else known", true, false, 0, false, ErrTimeout},
+		{"silent new connection", true, true, 0, true, ErrTimeout},
+		{"slow upstream", false, false, time.Minute, true, ErrTimeout},
 	} {
 		t.Run(test.description, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := &fakeUpstream{}
 				p := f.pool(Options{})
-				conns := make([]*Conn, 3)
-				for i := range conns { // three idle connections
+				defer p.Close()
+				conns := make([]*Conn, 4)
+				for i := range conns { // three idle connections, and one that is held and not used
 					conns[i], _ = p.Connect(t.Context(), true)
 				}
-				for _, c := range conns {
+				for _, c := range conns[:3] {
 					c.Release()
 				}
 				time.Sleep(time.Second)
 				if test.frozen {
-					f.frozen = time.Now()
+					f.frozen = time.Now().Add(time.Millisecond) // includes a new connection of the request
 				}
 				f.service.Store(int64(test.service))
 				if test.meanwhile {
@@ -104,17 +119,25 @@
 						}
 					})
 				}
-				out, err := get(p, 5*time.Second)
-				is.True(out.Reused)
+				out, err := get(p, test.fresh, 5*time.Second)
+				is.Equal(out.Reused, !test.fresh)
 				is.True(out.BytesWritten > 0) // the outcome is unknown
 				is.True(errors.Is(err, test.err))
 				is.True(errors.Is(err, context.DeadlineExceeded))
 				f.service.Store(0)
-				_, err = get(p, 5*time.Second)
-				is.NoErr(err) // not on one of the other two
-				is.Equal(p.Stats().Distrusted, 2)
-				p.Close()
-				time.Sleep(test.service) // the upstream notices the end of a connection after its work
+				conns[3].Release()
+				if !test.fresh {
+					_, err = get(p, false, 5*time.Second)
+					is.NoErr(err)                 // not on one of the other three
+					for reused := true; reused; { // take what is left in the pool
+						c, err := p.Connect(t.Context(), false)
+						is.NoErr(err)
+						defer c.Release()
+						reused = c.Reused()
+					}
+					is.Equal(p.Stats().Distrusted, 3)
+				}
+				defer time.Sleep(test.service) // the upstream notices the end of a connection after its work
 			})
 		})
 	}
@@ -145,6 +168,14 @@
 		third.Release()
 		time.Sleep(31 * time.Second)
 		is.Equal(p.Stats().Open, 0) // third was not used either, so it is as old as it is open
+		old, err := p.Connect(t.Context(), false)
+		is.NoErr(err)
+		time.Sleep(61 * time.Second)
+		old.Release()
+		next, err := p.Connect(t.Context(), false)
+		is.NoErr(err)
+		is.True(!next.Reused()) // the released one is past the limit
+		next.Release()
 		p.Close()
 		_, err = p.Connect(t.Context(), false)
 		is.True(errors.Is(err, ErrClosed))
@@ -201,3 +232,75 @@
 		})
 	}
 }
+
+// Guards against a request body that waits for an upstream that asked for it, or for ever for one that does not.
+func TestExpectContinue(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		asks        bool
+		took        time.Duration
+	}{
+		{"upstream asks for the body", true, 0},
+		{"upstream does not know the expectation", false, expectTimeout},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				got := make(chan string, 1)
+				p := NewPool("", Options{Dial: func(context.Context, string) (net.Conn, error) {
+					client, server := net.Pipe()
+					go func() {
+						defer server.Close()
+						r, err := http.ReadRequest(bufio.NewReader(server))
+						if err != nil {
+							return
+						}
+						if test.asks {
+							io.WriteString(server, "HTTP/1.1 100 Continue\r\n\r\n")
+						}
+						data, _ := io.ReadAll(r.Body)
+						got <- string(data)
+						io.WriteString(server, fine)
+					}()
+					return client, nil
+				}})
+				defer p.Close()
+				r, err := http.NewRequest("POST", "http://upstream/status", strings.NewReader("question"))
+				is.NoErr(err)
+				r.Header.Set("Expect", "100-Continue")
+				start := time.Now()
+				_, _, err = call(t.Context(), p, r)
+				is.NoErr(err)
+				is.Equal(<-got, "question")
+				is.Equal(time.Since(start), test.took)
+			})
+		})
+	}
+}
+
+// Guards against a slow client that makes its connection to the upstream look unresponsive.
+func TestSlowRequestBodyIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeUpstream{}
+		p := f.pool(Options{})
+		defer p.Close()
+		_, err := get(p, false, time.Second)
+		is.NoErr(err) // leaves an idle connection
+		body, client := io.Pipe()
+		defer client.Close()
+		time.AfterFunc(time.Second, func() { get(p, true, time.Second) })
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		r, err := http.NewRequest("POST", "http://upstream/status", body)
+		is.NoErr(err)
+		f.service.Store(int64(time.Minute)) // the upstream does not answer before the body is complete
+		time.AfterFunc(500*time.Millisecond, func() { f.service.Store(0) })
+		_, out, err := call(ctx, p, r)
+		is.True(out.Reused)
+		is.True(errors.Is(err, ErrTimeout))
+		is.Equal(p.Stats().Silent, 0)
+		is.Equal(p.Stats().Distrusted, 0)
+		time.Sleep(time.Minute) // ends the upstream's work
+	})
+}
