--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -157,6 +157,9 @@
 		return nil
 	}
 	x.body.closed = true
+	if x.body.complete {
+		x.sender.await()
+	}
 	reusable := x.body.complete && x.body.keep && x.sender.finished() && x.reader.Buffered() == 0
 	if !reusable || !x.stop() { // stop fails if the context has ended and the connection is being closed
 		x.abandon()
--- a/internal/upstreamconn/sender.go
+++ b/internal/upstreamconn/sender.go
@@ -6,16 +6,21 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // maxInlineBody is the length up to which a request body is sent before the response is read, in bytes. It fits into the
 // socket buffers, so that an upstream that answers without reading it does not block the exchange.
 const maxInlineBody = 32 << 10
 
+// lastWriteLimit bounds the wait for the return of a write whose bytes the upstream has already answered.
+const lastWriteLimit = 100 * time.Millisecond
+
 // sender writes one request.
 type sender struct {
 	transport *transport
 	request   *http.Request
+	body      *requestBody  // nil if sent inline
 	expect    *expectBody   // nil unless the body waits for 100 Continue
 	done      chan struct{} // closed when another goroutine has sent the request; nil if sent inline
 
@@ -31,10 +36,15 @@
 		return s
 	}
 	s.done = make(chan struct{})
+	s.body = &requestBody{ReadCloser: r.Body, left: r.ContentLength}
+	if r.ContentLength == 0 {
+		s.body.left = -1 // not known
+	}
+	s.request = new(http.Request)
+	*s.request = *r
+	s.request.Body = s.body
 	if expects {
-		s.expect = newExpectBody(ctx, r.Body)
-		s.request = new(http.Request)
-		*s.request = *r
+		s.expect = newExpectBody(ctx, s.body)
 		s.request.Body = s.expect
 	}
 	return s
@@ -86,6 +96,20 @@
 	return s.bodyErr
 }
 
+// await waits for the last write of a request whose body was read to its end: an upstream may have answered before the
+// write has returned. It does not wait for a body that is still being read.
+func (s *sender) await() {
+	if s.done == nil || !s.body.ended.Load() {
+		return
+	}
+	timer := time.NewTimer(lastWriteLimit)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+	case <-timer.C:
+	}
+}
+
 // finished reports whether the whole request was sent.
 func (s *sender) finished() bool {
 	if s.done != nil {
