--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -172,3 +172,46 @@
 	_, err = standin.BehaviourFromFlags(map[string]string{"service-ms": "fast"})
 	is.True(err != nil)
 }
+
+// Guards against a health response that is true where the behaviour wants a lie, or false where it wants the truth.
+func TestHealth(t *testing.T) {
+	const cold = `{"cold_work": 1, "cold_slots": 1}`
+	for _, test := range []struct {
+		description string
+		behaviour   string
+		served      bool // one request before the control call
+		control     string
+		health      standin.Health // without the boot id
+		newBootID   bool
+	}{
+		{"cold after boot", cold, false, "", standin.Health{Slots: 3, Cold: true}, false},
+		{"warm after work", cold, true, "", standin.Health{Slots: 3}, false},
+		{"cold again under the old boot id", cold, true, "/upstreams/u1/cold", standin.Health{Slots: 3, Cold: true}, false},
+		{"cold again under a new boot id", cold, true, "/upstreams/u1/cold?new_boot_id=true", standin.Health{Slots: 3, Cold: true}, true},
+		{"hidden cold start", `{"cold_work": 1, "cold_hidden": true}`, false, "", standin.Health{Slots: 3}, false},
+		{"false load", `{"lie_load": "2/9"}`, false, "", standin.Health{Slots: 9, Inflight: 2}, false},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			w := newWorld(t, standin.Behaviour{})
+			status, _ := w.control("PATCH", "/upstreams/u1/behaviour", test.behaviour)
+			w.is.Equal(status, 204)
+			before := w.upstream.Report(false).BootID
+			if test.served {
+				_, _, err := w.send("/status/level", "r1")
+				w.is.NoErr(err)
+			}
+			if test.control != "" {
+				status, _ = w.control("POST", test.control, "")
+				w.is.Equal(status, 204)
+			}
+			resp, err := w.client.Get("http://" + w.upstream.Address() + "/health")
+			w.is.NoErr(err)
+			defer resp.Body.Close()
+			var got standin.Health
+			w.is.NoErr(json.NewDecoder(resp.Body).Decode(&got))
+			w.is.Equal(got.BootID != before, test.newBootID)
+			got.BootID = ""
+			w.is.Equal(got, test.health)
+		})
+	}
+}
