--- a/internal/loadgen/wait_linux.go
+++ b/internal/loadgen/wait_linux.go
@@ -9,8 +9,9 @@
 // runtimeTimerError is how late the runtime's timers fire in an idle process, because it waits in epoll with whole ms.
 const runtimeTimerError = 2 * time.Millisecond
 
-// waitPrecisely waits until the given time within about 0.1 ms. It blocks a thread for the last 2 ms, so only the schedule
-// uses it. It returns false if ctx ended first.
+// waitPrecisely waits until the given time without the rounding of the runtime's timers. A busy machine still delays it;
+// Result.Lateness states by how much. It blocks a thread for the last 2 ms, so only the schedule uses it. It returns false
+// if ctx ended first.
 func waitPrecisely(ctx context.Context, at time.Time) bool {
 	if !sleepUntil(ctx, at.Add(-runtimeTimerError)) {
 		return false
