--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,147 @@
+// Command experiment measures bramleypick on one machine and writes the report. See package internal/experiment.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bramleypick/bramleypick/internal/experiment"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "experiment",
+		Usage: "measure tail latency, the cost of measuring, and a zone's departure and return",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bramleypick", Required: true, Usage: "`PATH` of the bramleypick binary"},
+			&cli.StringFlag{Name: "standin", Required: true, Usage: "`PATH` of the standin binary"},
+			&cli.StringFlag{Name: "work", Required: true, Usage: "`FOLDER` for settings and logs"},
+			&cli.StringFlag{Name: "out", Required: true, Usage: "`FOLDER` for the report"},
+			&cli.StringFlag{Name: "revision", Usage: "`REVISION` that is measured"},
+			&cli.StringFlag{Name: "machine", Usage: "`TEXT` that describes the machine"},
+			&cli.IntFlag{Name: "base-port", Value: 23000, Usage: "first `PORT`"},
+			&cli.StringSliceFlag{Name: "only", Usage: "`NAME` of an experiment: tail, tail-wide, zone, cost, changes or rolling; default all"},
+			&cli.DurationFlag{Name: "limit", Value: 295 * time.Second, Usage: "`DURATION` after which the rest is left out"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("limit"))
+	defer cancel()
+	report := experiment.Report{
+		Revision: c.String("revision"), Machine: c.String("machine"), Date: time.Now().UTC().Format(time.DateOnly),
+	}
+	for _, e := range experiments(c, &report) {
+		if only := c.StringSlice("only"); len(only) > 0 && !slices.Contains(only, e.name) {
+			report.Missing = append(report.Missing, e.name+": not selected")
+			continue
+		}
+		if err := e.run(ctx); err != nil {
+			report.Missing = append(report.Missing, fmt.Sprintf("%s: %v", e.name, err))
+			fmt.Fprintf(os.Stderr, "%s failed: %v\n", e.name, err)
+		}
+	}
+	return write(c.String("out"), report)
+}
+
+// namedExperiment is one experiment that writes into the report.
+type namedExperiment struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+func experiments(c *cli.Command, report *experiment.Report) []namedExperiment {
+	programs := experiment.Programs{Bramleypick: c.String("bramleypick"), Standin: c.String("standin")}
+	work, port := c.String("work"), c.Int("base-port")
+	tail := func(name string, delay time.Duration, seeds ...uint64) func(context.Context) error {
+		return func(ctx context.Context) error {
+			runs, err := experiment.Tail(ctx, programs, filepath.Join(work, name), port, delay, seeds, os.Stdout)
+			report.Tail = append(report.Tail, runs...)
+			return err
+		}
+	}
+	return []namedExperiment{
+		{"zone", func(ctx context.Context) (err error) {
+			report.Zone, err = experiment.Zone(ctx, programs, work, port, experiment.ZoneVariants, os.Stdout)
+			return err
+		}},
+		{"tail", tail("tail", 500*time.Microsecond, 1, 2, 3)},
+		{"cost", func(ctx context.Context) (err error) {
+			report.Cost, err = experiment.Cost(ctx, programs, work, port, os.Stdout)
+			return err
+		}},
+		{"changes", func(ctx context.Context) error {
+			changes, err := experiment.Changes(ctx, programs, filepath.Join(work, "changes"), port, os.Stdout)
+			if err == nil {
+				report.Changes = &changes
+			}
+			return err
+		}},
+		{"rolling", func(ctx context.Context) error {
+			rolling, err := experiment.Rolling(ctx, programs, filepath.Join(work, "rolling"), port, os.Stdout)
+			if err == nil {
+				report.Rolling = &rolling
+			}
+			return err
+		}},
+		{"tail-wide", tail("tail-wide", 1500*time.Microsecond, 1)},
+	}
+}
+
+func write(dir string, report experiment.Report) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Wrap(err, "report folder")
+	}
+	data, err := json.MarshalIndent(report, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode the report")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "measurements.json"), append(data, '\n'), 0o644); err != nil {
+		return errors.Wrap(err, "write the report")
+	}
+	if err := writeFile(filepath.Join(dir, "measurements.md"), report.WriteMarkdown); err != nil {
+		return err
+	}
+	if len(report.Tail) > 0 {
+		plot := func(w io.Writer) error { return experiment.PlotTail(w, report.Tail) }
+		if err := writeFile(filepath.Join(dir, "tail.svg"), plot); err != nil {
+			return err
+		}
+	}
+	if len(report.Zone) > 0 {
+		plot := func(w io.Writer) error { return experiment.PlotZone(w, report.Zone[0]) }
+		return writeFile(filepath.Join(dir, "zone.svg"), plot)
+	}
+	return nil
+}
+
+func writeFile(name string, content func(io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write the report")
+	}
+	defer f.Close()
+	return errors.Wrap(content(f), name)
+}
--- a/internal/api/respond.go
+++ b/internal/api/respond.go
@@ -34,6 +34,15 @@
 	return strconv.Itoa(int(r.Code)) + " " + r.Name + ": " + r.Message
 }
 
+// Retryable tells whether the same change may succeed later or at another entry VM.
+func (r *Refusal) Retryable() bool {
+	switch r.Code {
+	case resultcode.NotLeader, resultcode.NoQuorum, resultcode.ControlUnavailable, resultcode.ChangeOutcomeUnknown:
+		return true
+	}
+	return false
+}
+
 // NewRefusal describes a code and a message.
 func NewRefusal(code resultcode.Code, message string) *Refusal {
 	info, _ := code.Info()
--- /dev/null
+++ b/internal/experiment/changes.go
@@ -0,0 +1,130 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
+)
+
+const (
+	changeCount = 200
+	// killEvery is the number of changes after which a process is killed and started again.
+	killEvery = 20
+)
+
+// ChangesRun is the time that configuration changes took, with a process killed and restarted every killEvery changes.
+type ChangesRun struct {
+	Changes int `json:"changes"`
+	Kills   int `json:"kills"`
+	// Accepted and InForce are percentiles, in ms: until the operator has the answer, and from then until the version is in
+	// force everywhere.
+	Accepted Percentiles `json:"accepted_ms"`
+	InForce  Percentiles `json:"in_force_ms"`
+	// Reverted counts moments at which a gateway confirmed a lower version than before.
+	Reverted int `json:"reverted"`
+}
+
+// Percentiles summarises durations, in ms.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Changes measures the time from acceptance to in force everywhere.
+func Changes(ctx context.Context, programs Programs, dir string, basePort int, progress io.Writer) (ChangesRun, error) {
+	run := ChangesRun{}
+	c, err := newCluster(ctx, programs, localdeploy.Plan{Dir: dir, Zones: trialZones, VMs: 6, ControlReplicas: 3, BasePort: basePort})
+	if err != nil {
+		return run, err
+	}
+	defer c.close()
+	var accepted, inForce []time.Duration
+	config := tailConfig(dynconfig.PolicyOwner)
+	highest := make(map[string]uint64)
+	for i := range changeCount {
+		if i%killEvery == killEvery-1 {
+			if err := c.killAndRestart(run.Kills); err != nil {
+				return run, err
+			}
+			run.Kills++
+		}
+		config.Services[0].QueueLimit = 100 + i
+		a, f, err := c.change(ctx, config, uint64(i), highest, &run)
+		if err != nil {
+			return run, errors.Wrapf(err, "change %d", i)
+		}
+		accepted, inForce = append(accepted, a), append(inForce, f)
+		run.Changes++
+	}
+	run.Accepted, run.InForce = percentiles(accepted), percentiles(inForce)
+	fmt.Fprintf(progress, "changes: %d with %d kills: accepted p50 %.0f p99 %.0f max %.0f ms; then in force everywhere p50 %.0f p99 %.0f max %.0f ms; reverted %d\n",
+		run.Changes, run.Kills, run.Accepted.P50, run.Accepted.P99, run.Accepted.Max, run.InForce.P50, run.InForce.P99, run.InForce.Max, run.Reverted)
+	return run, nil
+}
+
+// killAndRestart kills the VMs in turn, control replicas and leader among them.
+func (c *Cluster) killAndRestart(turn int) error {
+	p := c.vms[turn%len(c.vms)]
+	p.kill()
+	return p.restart()
+}
+
+func (c *Cluster) change(ctx context.Context, config dynconfig.Config, base uint64, highest map[string]uint64, run *ChangesRun) (accepted, inForce time.Duration, err error) {
+	data, err := dynconfig.Canonical(config)
+	if err != nil {
+		return 0, 0, err
+	}
+	began := time.Now()
+	change := api.ConfigChange{BaseVersion: &base, ChangeID: fmt.Sprintf("change-%d", base), Config: data}
+	result, err := c.applyUntilAnswered(ctx, change)
+	if err != nil {
+		return 0, 0, err
+	}
+	if result.ConfigVersion != base+1 {
+		return 0, 0, errors.Errorf("accepted as version %d, want %d", result.ConfigVersion, base+1)
+	}
+	answered := time.Now()
+	err = c.waitForStatus(ctx, "in force", func(r controlproto.Report) bool {
+		for _, g := range r.Gateways {
+			if g.ConfigVersion != 0 && g.ConfigVersion < highest[g.Name] {
+				run.Reverted++
+			}
+			highest[g.Name] = max(highest[g.Name], g.ConfigVersion)
+		}
+		return r.InForce >= result.ConfigVersion
+	})
+	return answered.Sub(began), time.Since(answered), err
+}
+
+// applyUntilAnswered resends a change with the same id until an answer comes.
+func (c *Cluster) applyUntilAnswered(ctx context.Context, change api.ConfigChange) (api.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		accepted, err := c.operator.Apply(ctx, change)
+		if err == nil || ctx.Err() != nil {
+			return accepted, err
+		}
+		var refusal *api.Refusal
+		if errors.As(err, &refusal) && !refusal.Retryable() {
+			return accepted, err
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func percentiles(durations []time.Duration) Percentiles {
+	sorted := slices.Sorted(slices.Values(durations))
+	at := func(q float64) float64 { return sorted[int(q*float64(len(sorted)-1))].Seconds() * 1000 }
+	return Percentiles{P50: at(0.5), P99: at(0.99), Max: at(1)}
+}
--- /dev/null
+++ b/internal/experiment/common.go
@@ -0,0 +1,22 @@
+package experiment
+
+import "github.com/bramleypick/bramleypick/dynconfig"
+
+// trialZones are the availability zones of every experiment.
+var trialZones = []string{"milano-nord", "bergamo", "brescia"}
+
+func zonesOf(names []string) []dynconfig.Zone {
+	zones := make([]dynconfig.Zone, len(names))
+	for i, name := range names {
+		zones[i].Name = name
+	}
+	return zones
+}
+
+func sum(numbers []int) int {
+	total := 0
+	for _, n := range numbers {
+		total += n
+	}
+	return total
+}
--- /dev/null
+++ b/internal/experiment/cost.go
@@ -0,0 +1,163 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
+)
+
+// costWindow is how long the cost of measuring is counted for each size.
+const costWindow = 4 * time.Second
+
+// costSizes are the numbers of gateways and upstreams, so that each grows alone and both together.
+var costSizes = []struct{ gateways, upstreams int }{{3, 12}, {3, 39}, {12, 12}, {12, 39}}
+
+// CostRun is the cost of measuring and of control, without any request of callers, when nothing but probes tells the load.
+type CostRun struct {
+	Gateways  int `json:"gateways"`
+	Upstreams int `json:"upstreams"`
+	// ProbesPerUpstream is in probes per second and upstream, over all gateways, as the upstreams counted them.
+	ProbesPerUpstream float64 `json:"probes_per_s_and_upstream"`
+	// BytesPerUpstream is in bytes per second and upstream, written and read, as the gateways counted them.
+	BytesPerUpstream float64 `json:"probe_bytes_per_s_and_upstream"`
+	// GatewayCPUPercent is the mean processor share of a VM without a control replica, in percent of a core.
+	GatewayCPUPercent float64 `json:"gateway_cpu_percent"`
+	// ControlCPUPercent is the same for a VM with one.
+	ControlCPUPercent float64 `json:"control_cpu_percent"`
+	// GatewayMegabytes and ControlMegabytes are resident memory in MB.
+	GatewayMegabytes float64 `json:"gateway_mb"`
+	ControlMegabytes float64 `json:"control_mb"`
+}
+
+// Cost measures what the measuring of upstreams costs as their number and that of the gateways grows.
+func Cost(ctx context.Context, programs Programs, dir string, basePort int, progress io.Writer) ([]CostRun, error) {
+	var runs []CostRun
+	for i, size := range costSizes {
+		run, err := costRun(ctx, programs, fmt.Sprintf("%s/cost%d", dir, i), basePort, size.gateways, size.upstreams)
+		if err != nil {
+			return runs, err
+		}
+		runs = append(runs, run)
+		fmt.Fprintf(progress, "cost: %2d gateways, %2d upstreams: %.2f probes/s and %.0f B/s for each upstream; gateway %.1f %% of a core, %.0f MB; with control replica %.1f %%, %.0f MB\n",
+			run.Gateways, run.Upstreams, run.ProbesPerUpstream, run.BytesPerUpstream,
+			run.GatewayCPUPercent, run.GatewayMegabytes, run.ControlCPUPercent, run.ControlMegabytes)
+	}
+	return runs, nil
+}
+
+// The control group of the smallest size is one replica, so that every size has VMs without a replica.
+func costRun(ctx context.Context, programs Programs, dir string, basePort, gateways, upstreams int) (CostRun, error) {
+	run := CostRun{Gateways: gateways, Upstreams: upstreams}
+	control := 3
+	if gateways <= control {
+		control = 1
+	}
+	c, err := newCluster(ctx, programs, localdeploy.Plan{Dir: dir, Zones: trialZones, VMs: gateways, ControlReplicas: control, BasePort: basePort})
+	if err != nil {
+		return run, err
+	}
+	defer c.close()
+	config := tailConfig(dynconfig.PolicyOwner)
+	config.Services[0].GatewaysPerZone = gateways / len(trialZones)
+	if _, err := c.apply(ctx, config); err != nil {
+		return run, err
+	}
+	var groups []upstreamGroup
+	for _, zone := range trialZones {
+		groups = append(groups, upstreamGroup{service: "status", zone: zone, count: upstreams / len(trialZones), slots: tailSlots})
+	}
+	if err := c.startUpstreams(groups); err != nil {
+		return run, err
+	}
+	if err := c.waitOwned(ctx, upstreams); err != nil {
+		return run, err
+	}
+	return run, c.countCost(ctx, &run)
+}
+
+func (c *Cluster) countCost(ctx context.Context, run *CostRun) error {
+	before, err := c.costCounters(ctx)
+	if err != nil {
+		return err
+	}
+	time.Sleep(costWindow)
+	after, err := c.costCounters(ctx)
+	if err != nil {
+		return err
+	}
+	perUpstream := costWindow.Seconds() * float64(run.Upstreams)
+	run.ProbesPerUpstream = float64(after.probes-before.probes) / perUpstream
+	run.BytesPerUpstream = (after.bytes - before.bytes) / perUpstream
+	for i := range c.vms {
+		percent := 100 * (after.usages[i].cpu - before.usages[i].cpu).Seconds() / costWindow.Seconds()
+		megabytes := float64(after.usages[i].rss) / 1e6
+		if i < c.plan.ControlReplicas {
+			run.ControlCPUPercent += percent / float64(c.plan.ControlReplicas)
+			run.ControlMegabytes += megabytes / float64(c.plan.ControlReplicas)
+		} else {
+			run.GatewayCPUPercent += percent / float64(c.plan.VMs-c.plan.ControlReplicas)
+			run.GatewayMegabytes += megabytes / float64(c.plan.VMs-c.plan.ControlReplicas)
+		}
+	}
+	return nil
+}
+
+// costCounters are running totals.
+type costCounters struct {
+	probes int
+	bytes  float64
+	usages []usage
+}
+
+func (c *Cluster) costCounters(ctx context.Context) (costCounters, error) {
+	var counters costCounters
+	reports, err := c.reports(ctx, false)
+	if err != nil {
+		return counters, err
+	}
+	for _, r := range reports {
+		for _, u := range r.Upstreams {
+			counters.probes += u.Work.HealthRequests
+		}
+	}
+	for _, p := range c.vms {
+		u, err := p.usage()
+		if err != nil {
+			return counters, err
+		}
+		counters.usages = append(counters.usages, u)
+	}
+	for i := range c.vms {
+		data, err := c.operatorOf(i).Metrics(ctx)
+		if err != nil {
+			return counters, err
+		}
+		bytes, err := sumOfCounters(data, "probe_bytes")
+		if err != nil {
+			return counters, err
+		}
+		counters.bytes += bytes
+	}
+	return counters, nil
+}
+
+// sumOfCounters adds up the counters whose name ends in suffix.
+func sumOfCounters(data []byte, suffix string) (float64, error) {
+	var values map[string]map[string]any
+	if err := json.Unmarshal(data, &values); err != nil {
+		return 0, err
+	}
+	total := 0.0
+	for name, fields := range values {
+		if count, ok := fields["count"].(float64); ok && strings.HasSuffix(name, suffix) {
+			total += count
+		}
+	}
+	return total, nil
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,195 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+)
+
+// Report holds the results of all experiments of one invocation.
+type Report struct {
+	// Revision is the revision of the source that was measured, and Machine describes where.
+	Revision string      `json:"revision"`
+	Machine  string      `json:"machine"`
+	Date     string      `json:"date"`
+	Tail     []TailRun   `json:"tail,omitempty"`
+	Zone     []ZoneRun   `json:"zone,omitempty"`
+	Cost     []CostRun   `json:"cost,omitempty"`
+	Changes  *ChangesRun `json:"changes,omitempty"`
+	Rolling  *RollingRun `json:"rolling,omitempty"`
+	// Missing names the experiments that failed or were not run, with the reason.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// WriteMarkdown writes the tables of docs/measurements.md.
+func (r Report) WriteMarkdown(w io.Writer) error {
+	p := &printer{w: w}
+	p.line("# Measurements")
+	p.line("")
+	p.line("Written by `scripts/measure` on %s at revision %s, on %s. All processes ran on one machine over loopback;", r.Date, r.Revision, r.Machine)
+	p.line("delays between zones were added in the test upstreams. The full data is in measurements.json.")
+	r.tailTable(p)
+	r.zoneTable(p)
+	r.costTable(p)
+	r.otherTables(p)
+	for _, m := range r.Missing {
+		p.line("")
+		p.line("Not measured: %s", m)
+	}
+	return p.err
+}
+
+// printer writes lines and keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
+
+func (r Report) tailTable(p *printer) {
+	if len(r.Tail) == 0 {
+		return
+	}
+	p.line("")
+	p.line("## Tail latency")
+	p.line("")
+	p.line("20 upstreams with %d slots in three zones, %d ms of work, stragglers (%s times slower for %s ms, every %s ms on average), idempotent",
+		tailSlots, tailServiceMillis, straggleFactor, straggleMillis, straggleGapMillis)
+	p.line("requests. Latencies in ms from the intended send time: the median over the seeds, with the lowest and highest in parentheses.")
+	p.line("Shed and failed are sums over the seeds. At once: most requests at once at any upstream.")
+	p.line("")
+	p.line("![tail latency](tail.svg)")
+	p.line("")
+	p.line("| one-way delay | load | policy | p50 | p99 | p99.9 | sent | shed | failed | at once |")
+	p.line("|---|---|---|---|---|---|---|---|---|---|")
+	for _, key := range tailKeys(r.Tail) {
+		runs := tailRuns(r.Tail, key)
+		total := TailRun{}
+		for _, run := range runs {
+			total.Sent += run.Sent
+			total.Shed += run.Shed
+			total.Failed += run.Failed
+			total.MostAtOnce = max(total.MostAtOnce, run.MostAtOnce)
+		}
+		p.line("| %.1f ms | %d %% | %s | %s | %s | %s | %d | %d | %d | %d |", key.delay, key.load, key.policy,
+			spread(runs, func(t TailRun) float64 { return t.Latency.P50 }),
+			spread(runs, func(t TailRun) float64 { return t.Latency.P99 }),
+			spread(runs, func(t TailRun) float64 { return t.Latency.P999 }),
+			total.Sent, total.Shed, total.Failed, total.MostAtOnce)
+	}
+}
+
+// tailKey is what a row of the tail table has in common.
+type tailKey struct {
+	delay  float64
+	load   int
+	policy dynconfig.Policy
+}
+
+func tailKeys(runs []TailRun) []tailKey {
+	var keys []tailKey
+	for _, r := range runs {
+		key := tailKey{r.OneWayDelayMillis, r.LoadPercent, r.Policy}
+		if !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func tailRuns(runs []TailRun, key tailKey) []TailRun {
+	var found []TailRun
+	for _, r := range runs {
+		if (tailKey{r.OneWayDelayMillis, r.LoadPercent, r.Policy}) == key {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// spread formats the median with the lowest and the highest value.
+func spread(runs []TailRun, value func(TailRun) float64) string {
+	values := sortedValues(runs, value)
+	return fmt.Sprintf("%.1f (%.1f to %.1f)", values[len(values)/2], values[0], values[len(values)-1])
+}
+
+func sortedValues(runs []TailRun, value func(TailRun) float64) []float64 {
+	values := make([]float64, len(runs))
+	for i, r := range runs {
+		values[i] = value(r)
+	}
+	slices.Sort(values)
+	return values
+}
+
+func (r Report) zoneTable(p *printer) {
+	if len(r.Zone) == 0 {
+		return
+	}
+	size := r.Zone[0].Sizes
+	p.line("")
+	p.line("## Zone departure and return")
+	p.line("")
+	p.line("%d upstreams of three services in three zones, %.0f requests/s, which hold %d %% of all slots: status checks, callouts with", size.Upstreams, size.Rate, size.LoadPercent)
+	p.line("idempotency keys, and downloads of 2 s. One zone is stopped after %v; its upstreams restart cold and the zone returns after %v.", zoneStopAt, zoneReturnAt)
+	p.line("Times in ms, from the acceptance of the stop or the return. Not run and uncertain count the callers' final outcomes after up to three")
+	p.line("resends; doubled and lost count idempotency keys. p99: median of the p99 of 100 ms steps before, during and after. Most cold: most requests")
+	p.line("at once at an upstream in cold start, which can bear %d.", zoneColdSlots)
+	p.line("")
+	p.line("![zone departure](zone.svg)")
+	p.line("")
+	p.line("| fault | last new request | in force | stopped | share back | sent | not run | uncertain | doubled | lost | false not run | p99 before / during / after | most cold |")
+	p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, z := range r.Zone {
+		v := z.Verdict
+		p.line("| %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %.1f / %.1f / %.1f | %d |", z.Variant, z.LastNewMillis, z.InForceMillis,
+			z.StoppedMillis, z.ShareMillis, v.Sent, v.NotRun, v.Uncertain, v.Doubled, v.Lost, v.FalseNotRun, z.Before, z.During, z.After, z.MostCold)
+	}
+}
+
+func (r Report) costTable(p *printer) {
+	if len(r.Cost) == 0 {
+		return
+	}
+	p.line("")
+	p.line("## Cost of measuring upstreams")
+	p.line("")
+	p.line("Without requests of callers, when only probes tell the load. Probes are counted by the upstreams, bytes by the gateways.")
+	p.line("")
+	p.line("| gateways | upstreams | probes/s for each upstream | bytes/s for each upstream | gateway: % of a core, MB | with control replica: % of a core, MB |")
+	p.line("|---|---|---|---|---|---|")
+	for _, c := range r.Cost {
+		p.line("| %d | %d | %.2f | %.0f | %.1f, %.0f | %.1f, %.0f |", c.Gateways, c.Upstreams, c.ProbesPerUpstream, c.BytesPerUpstream,
+			c.GatewayCPUPercent, c.GatewayMegabytes, c.ControlCPUPercent, c.ControlMegabytes)
+	}
+}
+
+func (r Report) otherTables(p *printer) {
+	if c := r.Changes; c != nil {
+		p.line("")
+		p.line("## Configuration changes")
+		p.line("")
+		p.line("%d changes with 6 VMs, one of which was killed and restarted every %d changes (%d kills, the leader among them); a change whose answer was lost", c.Changes, killEvery, c.Kills)
+		p.line("was resent with its id. No gateway may confirm a lower version than before: %d did.", c.Reverted)
+		p.line("")
+		p.line("| | p50 ms | p99 ms | max ms |")
+		p.line("|---|---|---|---|")
+		p.line("| until accepted | %.0f | %.0f | %.0f |", c.Accepted.P50, c.Accepted.P99, c.Accepted.Max)
+		p.line("| from accepted to in force everywhere | %.0f | %.0f | %.0f |", c.InForce.P50, c.InForce.P99, c.InForce.Max)
+	}
+	if c := r.Rolling; c != nil {
+		p.line("")
+		p.line("## Rolling restart")
+		p.line("")
+		p.line("%d of 6 entry VMs were restarted gracefully one after another under load, without resends by the callers (completed: %v): %d requests sent,",
+			c.Restarted, c.Completed, c.Verdict.Sent)
+		p.line("%d answered, %d refused as not run, %d uncertain, %d doubled, %d lost.", c.Verdict.Answered, c.Verdict.NotRun, c.Verdict.Uncertain, c.Verdict.Doubled, c.Verdict.Lost)
+	}
+}
--- /dev/null
+++ b/internal/experiment/rolling.go
@@ -0,0 +1,96 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/loadgen"
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
+	"github.com/bramleypick/bramleypick/internal/verify"
+)
+
+const (
+	// rollingRunTime leaves room for the graceful stop and the return of every VM.
+	rollingRunTime = 32 * time.Second
+	// rollingLoadPart is the load as a part of that of the zone experiment: 30 % of all slots.
+	rollingLoadPart = 0.5
+)
+
+// RollingRun is a graceful restart of every entry VM, one after another, under load.
+type RollingRun struct {
+	Restarted int `json:"restarted"`
+	// Completed tells whether all VMs were restarted before the load ended.
+	Completed bool                  `json:"completed"`
+	Verdict   verify.Verdict        `json:"verdict"`
+	Classes   []loadgen.ClassResult `json:"classes"`
+}
+
+// Rolling restarts every entry VM gracefully under load.
+func Rolling(ctx context.Context, programs Programs, dir string, basePort int, progress io.Writer) (RollingRun, error) {
+	run := RollingRun{}
+	c, err := newCluster(ctx, programs, localdeploy.Plan{Dir: dir, Zones: trialZones, VMs: 6, ControlReplicas: 3, BasePort: basePort})
+	if err != nil {
+		return run, err
+	}
+	defer c.close()
+	if _, err := c.apply(ctx, zoneConfig()); err != nil {
+		return run, err
+	}
+	if err := c.startUpstreams(zoneUpstreams()); err != nil {
+		return run, err
+	}
+	if err := c.waitOwned(ctx, zoneSizes().Upstreams); err != nil {
+		return run, err
+	}
+	restarted := make(chan error, 1)
+	go func() { restarted <- c.restartAll(ctx, &run) }()
+	load := c.zoneLoad(rollingRunTime, 3)
+	load.Rate *= rollingLoadPart
+	for i := range load.Classes {
+		// A graceful restart must not need the callers' resends.
+		load.Classes[i].Resend = loadgen.Resend{}
+	}
+	result, err := loadgen.Run(ctx, load)
+	if restartErr := <-restarted; restartErr != nil {
+		return run, restartErr
+	}
+	if err != nil {
+		return run, err
+	}
+	executions, err := c.executions(ctx)
+	if err != nil {
+		return run, err
+	}
+	run.Verdict, run.Classes = verify.Compare(result, executions), result.Classes
+	fmt.Fprintf(progress, "rolling restart: %d VMs, completed %v; ", run.Restarted, run.Completed)
+	return run, run.Verdict.WriteText(progress)
+}
+
+func (c *Cluster) restartAll(ctx context.Context, run *RollingRun) error {
+	deadline := time.Now().Add(rollingRunTime)
+	for _, p := range c.vms {
+		if err := p.stop(stopTimeout); err != nil {
+			return err
+		}
+		if err := p.restart(); err != nil {
+			return err
+		}
+		err := c.waitForStatus(ctx, p.name+" has a session again", func(r controlproto.Report) bool {
+			for _, g := range r.Gateways {
+				if g.Name == p.name && !g.Leaving {
+					return true
+				}
+			}
+			return false
+		})
+		if err != nil {
+			return err
+		}
+		run.Restarted++
+	}
+	run.Completed = time.Now().Before(deadline)
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/shares.go
@@ -0,0 +1,107 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	sampleInterval = 100 * time.Millisecond
+	// shareWindow is the number of samples over which a zone's share is taken.
+	shareWindow = 5
+	// shareReached is the part of its fair share from which a zone counts as carrying it.
+	shareReached = 0.8
+)
+
+// ZoneSample is how many requests the upstreams of each zone have started so far.
+type ZoneSample struct {
+	AtMillis int64          `json:"at_ms"`
+	Started  map[string]int `json:"started"`
+}
+
+// shareSampler samples the started requests of each zone.
+type shareSampler struct {
+	c      *Cluster
+	cancel context.CancelFunc
+	done   chan struct{}
+	began  time.Time
+
+	mu      sync.Mutex
+	samples []ZoneSample
+}
+
+func (c *Cluster) startSampler(ctx context.Context) *shareSampler {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &shareSampler{c: c, cancel: cancel, done: make(chan struct{}), began: time.Now()}
+	go s.run(ctx)
+	return s
+}
+
+func (s *shareSampler) run(ctx context.Context) {
+	defer close(s.done)
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sample(ctx)
+		}
+	}
+}
+
+func (s *shareSampler) sample(ctx context.Context) {
+	at := time.Since(s.began).Milliseconds()
+	reports, err := s.c.reports(ctx, false)
+	if err != nil {
+		return
+	}
+	started := make(map[string]int)
+	for i, r := range reports {
+		for _, u := range r.Upstreams {
+			started[s.c.standins[i].group.zone] += u.Work.Executed
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.samples = append(s.samples, ZoneSample{AtMillis: at, Started: started})
+}
+
+func (s *shareSampler) stop() []ZoneSample {
+	s.cancel()
+	<-s.done
+	return s.samples
+}
+
+// waitForShare returns the time in ms from since until the stopped zone carried its share, or -1 at the deadline.
+func (s *shareSampler) waitForShare(ctx context.Context, since, deadline time.Time) int64 {
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if s.carriesShare(since) {
+			return time.Since(since).Milliseconds()
+		}
+		time.Sleep(sampleInterval)
+	}
+	return -1
+}
+
+// carriesShare compares the samples of the last window with the zone's part of the upstreams, which is a third.
+func (s *shareSampler) carriesShare(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.samples) <= shareWindow {
+		return false
+	}
+	last := s.samples[len(s.samples)-1]
+	first := s.samples[len(s.samples)-1-shareWindow]
+	if s.began.Add(time.Duration(first.AtMillis) * time.Millisecond).Before(since) {
+		return false
+	}
+	total := 0
+	for zone := range last.Started {
+		total += last.Started[zone] - first.Started[zone]
+	}
+	zone := last.Started[stoppedZone] - first.Started[stoppedZone]
+	return total > 0 && float64(zone)/float64(total) >= shareReached/float64(len(trialZones))
+}
--- /dev/null
+++ b/internal/experiment/standins.go
@@ -0,0 +1,94 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/standin"
+)
+
+// adminTimeout bounds a question to a test upstream process.
+const adminTimeout = 10 * time.Second
+
+// upstreamGroup is a number of equal upstreams of one service in one zone, all in one process.
+type upstreamGroup struct {
+	service, zone string
+	count, slots  int
+	seed          int
+	// flags are further flags of the standin command.
+	flags []string
+}
+
+// standinProcess is a process of test upstreams.
+type standinProcess struct {
+	group   upstreamGroup
+	process *Process
+	admin   string
+}
+
+func (c *Cluster) startUpstreams(groups []upstreamGroup) error {
+	for _, g := range groups {
+		listen := fmt.Sprintf("127.0.0.1:%d", c.nextPort)
+		admin := fmt.Sprintf("127.0.0.1:%d", c.nextPort+g.count)
+		c.nextPort += g.count + 1
+		args := []string{
+			c.programs.Standin, "--service", g.service, "--zone", g.zone, "--count", strconv.Itoa(g.count),
+			"--slots", strconv.Itoa(g.slots), "--listen", listen, "--admin", admin, "--seed", strconv.Itoa(g.seed + 1000*len(c.standins)),
+		}
+		for i := range c.vms {
+			// Each process starts with another entry VM, so that announcements spread.
+			args = append(args, "--entry", c.addresses(callerOffset)[(i+len(c.standins))%len(c.vms)])
+		}
+		name := "standin-" + g.service + "-" + g.zone
+		p, err := start(name, filepath.Join(c.plan.Dir, name+".log"), append(args, g.flags...)...)
+		if err != nil {
+			return err
+		}
+		c.standins = append(c.standins, &standinProcess{group: g, process: p, admin: admin})
+	}
+	return nil
+}
+
+// reports returns the reports of all upstreams, by process.
+func (c *Cluster) reports(ctx context.Context, reset bool) ([]standin.ProcessReport, error) {
+	reports := make([]standin.ProcessReport, len(c.standins))
+	for i, s := range c.standins {
+		if err := getJSON(ctx, fmt.Sprintf("http://%s/report?reset=%v", s.admin, reset), &reports[i]); err != nil {
+			return nil, err
+		}
+	}
+	return reports, nil
+}
+
+// executions returns how often each request was executed, by process.
+func (c *Cluster) executions(ctx context.Context) ([]standin.Executions, error) {
+	all := make([]standin.Executions, len(c.standins))
+	for i, s := range c.standins {
+		if err := getJSON(ctx, "http://"+s.admin+"/executions?least=1", &all[i]); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+func getJSON(ctx context.Context, url string, value any) error {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "admin request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "admin request")
+	}
+	defer response.Body.Close()
+	return errors.Wrapf(json.NewDecoder(response.Body).Decode(value), "response of %s", url)
+}
--- /dev/null
+++ b/internal/experiment/zone.go
@@ -0,0 +1,225 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/loadgen"
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
+	"github.com/bramleypick/bramleypick/internal/verify"
+)
+
+// Times of the zone experiment, from the start of the load.
+const (
+	zoneStopAt   = 3 * time.Second
+	zoneFaultLag = 50 * time.Millisecond // from the acceptance of the stop to the fault
+	zoneReturnAt = 9 * time.Second
+	zoneRunTime  = 15 * time.Second
+	// zoneFreeze is how long the frozen gateway stays frozen: well past the end of its lease.
+	zoneFreeze = 5 * time.Second
+	// stoppedZone is the zone that leaves and returns.
+	stoppedZone = "bergamo"
+	// stoppedZoneGateway is a gateway without a control replica in that zone, which owns upstreams there.
+	stoppedZoneGateway = "vm05"
+)
+
+// ZoneVariant names the fault that is brought about right after the stop was accepted.
+type ZoneVariant string
+
+// Variants of the zone experiment.
+const (
+	ZonePlain         ZoneVariant = "no fault"
+	ZoneLeaderKilled  ZoneVariant = "control leader killed"
+	ZoneGatewayKilled ZoneVariant = "gateway killed"
+	ZoneGatewayFrozen ZoneVariant = "gateway frozen"
+)
+
+// ZoneVariants lists all variants.
+var ZoneVariants = []ZoneVariant{ZonePlain, ZoneLeaderKilled, ZoneGatewayKilled, ZoneGatewayFrozen}
+
+// ZoneRun is one run of the zone experiment.
+type ZoneRun struct {
+	Variant ZoneVariant `json:"variant"`
+	// LastNewMillis is the time from the acceptance of the stop to the last new request at an upstream of the zone, in ms;
+	// negative if the last one came before.
+	LastNewMillis int64 `json:"last_new_request_ms"`
+	// InForceMillis is the time from the acceptance until the stop was in force everywhere, in ms.
+	InForceMillis int64 `json:"in_force_ms"`
+	// StoppedMillis is the time until the stop was reported as complete, in ms; -1 if that was not before the return.
+	StoppedMillis int64 `json:"stopped_ms"`
+	// ShareMillis is the time from the acceptance of the return until the zone carried 80 % of its share, in ms; -1 if never.
+	ShareMillis int64 `json:"share_ms"`
+	// MostCold is the most requests at once at an upstream in cold start; it can bear zoneColdSlots.
+	MostCold int            `json:"most_cold"`
+	Verdict  verify.Verdict `json:"verdict"`
+	// Before, During and After are the p99 of the successful requests in ms, over 100 ms steps (median of the steps).
+	Before, During, After float64               `json:"-"`
+	P99                   map[string]float64    `json:"median_step_p99_ms"`
+	Classes               []loadgen.ClassResult `json:"classes"`
+	Steps                 []loadgen.Step        `json:"steps"`
+	Shares                []ZoneSample          `json:"shares"`
+	Sizes                 ZoneSizes             `json:"sizes"`
+}
+
+// ZoneSizes describes the load of the zone experiment.
+type ZoneSizes struct {
+	Upstreams   int     `json:"upstreams"`
+	LoadPercent int     `json:"load_percent_of_all_slots"`
+	Rate        float64 `json:"requests_per_s"`
+}
+
+// Zone takes an availability zone out and brings it back under load, once for each variant.
+func Zone(ctx context.Context, programs Programs, dir string, basePort int, variants []ZoneVariant, progress io.Writer) ([]ZoneRun, error) {
+	var runs []ZoneRun
+	for i, variant := range variants {
+		run, err := zoneRun(ctx, programs, fmt.Sprintf("%s/zone%d", dir, i), basePort, variant)
+		if err != nil {
+			return runs, errors.Wrapf(err, "zone experiment, %s", variant)
+		}
+		runs = append(runs, run)
+		fmt.Fprintf(progress, "zone: %-21s last new request %d ms, in force %d ms, stopped %d ms, share back %d ms, most cold %d\n  p99 %.1f / %.1f / %.1f ms; ",
+			variant, run.LastNewMillis, run.InForceMillis, run.StoppedMillis, run.ShareMillis, run.MostCold, run.Before, run.During, run.After)
+		if err := run.Verdict.WriteText(progress); err != nil {
+			return runs, err
+		}
+	}
+	return runs, nil
+}
+
+func zoneRun(ctx context.Context, programs Programs, dir string, basePort int, variant ZoneVariant) (ZoneRun, error) {
+	run := ZoneRun{Variant: variant}
+	c, err := newCluster(ctx, programs, localdeploy.Plan{Dir: dir, Zones: trialZones, VMs: 6, ControlReplicas: 3, BasePort: basePort})
+	if err != nil {
+		return run, err
+	}
+	defer c.close()
+	if _, err := c.apply(ctx, zoneConfig()); err != nil {
+		return run, err
+	}
+	if err := c.startUpstreams(zoneUpstreams()); err != nil {
+		return run, err
+	}
+	run.Sizes = zoneSizes()
+	if err := c.waitOwned(ctx, run.Sizes.Upstreams); err != nil {
+		return run, err
+	}
+	if _, err := loadgen.Run(ctx, c.zoneLoad(tailWarmUp, 1)); err != nil {
+		return run, err
+	}
+	if _, err := c.reports(ctx, true); err != nil {
+		return run, err
+	}
+	return run, c.zoneDeparture(ctx, &run)
+}
+
+// zoneDeparture runs the load and, next to it, the stop, the fault and the return.
+func (c *Cluster) zoneDeparture(ctx context.Context, run *ZoneRun) error {
+	sampler := c.startSampler(ctx)
+	started := time.Now()
+	operated := make(chan error, 1)
+	go func() { operated <- c.operateZone(ctx, run, started, sampler) }()
+	result, err := loadgen.Run(ctx, c.zoneLoad(zoneRunTime, 2))
+	run.Shares = sampler.stop()
+	if operateErr := <-operated; operateErr != nil {
+		return operateErr
+	}
+	if err != nil {
+		return err
+	}
+	executions, err := c.executions(ctx)
+	if err != nil {
+		return err
+	}
+	run.Verdict = verify.Compare(result, executions)
+	run.Classes, run.Steps = result.Classes, result.Steps
+	run.Before = medianP99(result.Steps, 0, zoneStopAt)
+	run.During = medianP99(result.Steps, zoneStopAt, zoneReturnAt)
+	run.After = medianP99(result.Steps, zoneReturnAt, zoneRunTime)
+	run.P99 = map[string]float64{"before": run.Before, "during": run.During, "after": run.After}
+	return c.coldWork(ctx, run)
+}
+
+// operateZone is the operator's side.
+func (c *Cluster) operateZone(ctx context.Context, run *ZoneRun, started time.Time, sampler *shareSampler) error {
+	sleepUntil(ctx, started.Add(zoneStopAt))
+	stop := dynconfig.Stop{Zone: stoppedZone}
+	accepted, err := c.operator.Stop(ctx, api.StopChange{ChangeID: "stop", Stop: stop})
+	if err != nil {
+		return err
+	}
+	stoppedAt := time.Now()
+	if err := c.inject(ctx, run.Variant); err != nil {
+		return err
+	}
+	if err := c.waitInForce(ctx, accepted.ConfigVersion); err != nil {
+		return err
+	}
+	run.InForceMillis = time.Since(stoppedAt).Milliseconds()
+	run.StoppedMillis = c.waitStopped(ctx, stoppedAt, started.Add(zoneReturnAt))
+	sleepUntil(ctx, started.Add(zoneReturnAt))
+	if run.LastNewMillis, err = c.lastNew(ctx, stoppedAt); err != nil {
+		return err
+	}
+	// The upstreams were restarted while their zone was out.
+	if err := c.makeCold(ctx); err != nil {
+		return err
+	}
+	if _, err := c.operator.Return(ctx, api.StopChange{ChangeID: "return", Stop: stop}); err != nil {
+		return err
+	}
+	returnedAt := time.Now()
+	run.ShareMillis = sampler.waitForShare(ctx, returnedAt, started.Add(zoneRunTime))
+	return nil
+}
+
+// inject brings the variant's fault about. A frozen gateway resumes by itself.
+func (c *Cluster) inject(ctx context.Context, variant ZoneVariant) error {
+	time.Sleep(zoneFaultLag)
+	switch variant {
+	case ZoneLeaderKilled:
+		leader, err := c.leader(ctx)
+		if err != nil {
+			return err
+		}
+		leader.kill()
+	case ZoneGatewayKilled:
+		c.vm(stoppedZoneGateway).kill()
+	case ZoneGatewayFrozen:
+		p := c.vm(stoppedZoneGateway)
+		p.freeze()
+		time.AfterFunc(zoneFreeze, p.thaw)
+	}
+	return nil
+}
+
+// waitStopped returns the time in ms until the stop was reported as complete, or -1 at the deadline.
+func (c *Cluster) waitStopped(ctx context.Context, since, deadline time.Time) int64 {
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-time.Second))
+	defer cancel()
+	err := c.waitForStatus(ctx, "zone stopped", func(r controlproto.Report) bool {
+		for _, s := range r.Stops {
+			if s.Zone == stoppedZone {
+				return s.Stopped
+			}
+		}
+		return false
+	})
+	if err != nil {
+		return -1
+	}
+	return time.Since(since).Milliseconds()
+}
+
+func sleepUntil(ctx context.Context, t time.Time) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(t)):
+	}
+}
--- /dev/null
+++ b/internal/experiment/zone_load.go
@@ -0,0 +1,185 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/loadgen"
+)
+
+const (
+	// zoneLoadPercent is the load in percent of all slots; with a third of them gone it is 90 % of the rest.
+	zoneLoadPercent     = 60
+	zoneSlots           = 3
+	zoneColdSlots       = 1
+	zoneColdWork        = 20
+	zoneColdFactor      = 2
+	downloadBytes       = 100_000
+	downloadBytesPerSec = 50_000
+)
+
+// zoneService is one service of the zone experiment, sized as the smaller user's.
+type zoneService struct {
+	name string
+	// counts are the upstreams in each zone.
+	counts []int
+	// workMillis is how long a request holds a slot, in ms.
+	workMillis float64
+	class      dynconfig.Class
+	flags      []string
+	load       loadgen.Class
+}
+
+func zoneServices() []zoneService {
+	resend := loadgen.Resend{Max: 3, DelayMillis: 100, AttemptTimeoutMillis: 4000, NotRun: true}
+	return []zoneService{
+		{
+			name: "status", counts: []int{7, 7, 6}, workMillis: 40,
+			class: dynconfig.Class{Name: "check", Method: "GET", PathPrefix: "/status", Idempotent: true, Priority: 10, TimeoutMillis: 5000},
+			flags: []string{"--service-ms", "40"},
+			load:  loadgen.Class{Name: "check", Service: "status", Path: "/status/panels/17", Resend: resend},
+		},
+		{
+			name: "dispatch", counts: []int{4, 3, 3}, workMillis: 100,
+			class: dynconfig.Class{Name: "callout", Method: "POST", PathPrefix: "/dispatch/callouts", Priority: 100, TimeoutMillis: 5000},
+			flags: []string{"--service-ms", "100"},
+			load: loadgen.Class{
+				Name: "callout", Service: "dispatch", Method: "POST", Path: "/dispatch/callouts", BodyBytes: 64, NonIdempotent: true, Resend: resend,
+			},
+		},
+		{
+			name: "archive", counts: []int{2, 2, 2}, workMillis: 1000 * downloadBytes / downloadBytesPerSec,
+			class: dynconfig.Class{Name: "download", Method: "GET", PathPrefix: "/archive", Idempotent: true, TimeoutMillis: 8000},
+			flags: []string{"--response-bytes", fmt.Sprint(downloadBytes), "--stream-bytes-per-s", fmt.Sprint(downloadBytesPerSec)},
+			load:  loadgen.Class{Name: "download", Service: "archive", Path: "/archive/logs/17", Resend: resend},
+		},
+	}
+}
+
+// rate returns the requests per second that hold zoneLoadPercent of the service's slots.
+func (s zoneService) rate() float64 {
+	return float64(sum(s.counts)*zoneSlots) * zoneLoadPercent / 100 * 1000 / s.workMillis
+}
+
+func zoneSizes() ZoneSizes {
+	sizes := ZoneSizes{LoadPercent: zoneLoadPercent}
+	for _, s := range zoneServices() {
+		sizes.Upstreams += sum(s.counts)
+		sizes.Rate += s.rate()
+	}
+	return sizes
+}
+
+func zoneConfig() dynconfig.Config {
+	config := dynconfig.Config{Zones: zonesOf(trialZones)}
+	for _, s := range zoneServices() {
+		config.Services = append(config.Services, dynconfig.Service{
+			Name: s.name, Classes: []dynconfig.Class{s.class}, ColdSlots: zoneColdSlots, QueueLimit: 1024,
+		})
+	}
+	return config
+}
+
+func zoneUpstreams() []upstreamGroup {
+	var groups []upstreamGroup
+	for _, s := range zoneServices() {
+		for i, zone := range trialZones {
+			flags := append(slices.Clone(s.flags), "--one-way-delay-ms", "0.5", "--cold-slots", fmt.Sprint(zoneColdSlots),
+				"--cold-work", fmt.Sprint(zoneColdWork), "--cold-factor", fmt.Sprint(zoneColdFactor))
+			groups = append(groups, upstreamGroup{service: s.name, zone: zone, count: s.counts[i], slots: zoneSlots, flags: flags})
+		}
+	}
+	return groups
+}
+
+func (c *Cluster) zoneLoad(duration time.Duration, seed uint64) loadgen.Config {
+	config := loadgen.Config{
+		Entries: c.addresses(callerOffset), DurationMillis: int(duration.Milliseconds()), Seed: seed, CheckBody: true, RecordKeys: true,
+	}
+	for _, s := range zoneServices() {
+		class := s.load
+		class.Weight = s.rate()
+		config.Rate += s.rate()
+		config.Classes = append(config.Classes, class)
+	}
+	return config
+}
+
+// lastNew returns the time in ms from since to the last new request at an upstream of the stopped zone.
+func (c *Cluster) lastNew(ctx context.Context, since time.Time) (int64, error) {
+	reports, err := c.reports(ctx, false)
+	if err != nil {
+		return 0, err
+	}
+	var last int64
+	for i, r := range reports {
+		if c.standins[i].group.zone != stoppedZone {
+			continue
+		}
+		for _, u := range r.Upstreams {
+			last = max(last, u.Work.LastNewUnixMS)
+		}
+	}
+	return last - since.UnixMilli(), nil
+}
+
+// makeCold restarts the upstreams of the stopped zone: they have new boot ids and are in cold start.
+func (c *Cluster) makeCold(ctx context.Context) error {
+	for _, s := range c.standins {
+		if s.group.zone != stoppedZone {
+			continue
+		}
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.admin+"/upstreams/all/cold?new_boot_id=true", nil)
+		if err != nil {
+			return errors.Wrap(err, "admin request")
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return errors.Wrap(err, "admin request")
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusNoContent {
+			return errors.Errorf("cold start refused with status %d", response.StatusCode)
+		}
+	}
+	return nil
+}
+
+// coldWork notes the most requests at once at an upstream of the stopped zone in cold start.
+func (c *Cluster) coldWork(ctx context.Context, run *ZoneRun) error {
+	reports, err := c.reports(ctx, false)
+	if err != nil {
+		return err
+	}
+	for i, r := range reports {
+		if c.standins[i].group.zone != stoppedZone {
+			continue
+		}
+		for _, u := range r.Upstreams {
+			run.MostCold = max(run.MostCold, u.Work.MostAtOnceCold)
+		}
+	}
+	return nil
+}
+
+// medianP99 returns the median of the p99 of the steps from begin to end, in ms.
+func medianP99(steps []loadgen.Step, begin, end time.Duration) float64 {
+	var values []float64
+	for _, s := range steps {
+		at := time.Duration(s.AtMillis) * time.Millisecond
+		if at >= begin && at < end && s.P99 > 0 {
+			values = append(values, s.P99)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
--- a/internal/opclient/client.go
+++ b/internal/opclient/client.go
@@ -114,12 +114,11 @@
 // final tells whether another entry VM would give the same answer.
 func final(err error) bool {
 	var refusal *api.Refusal
-	if !errors.As(err, &refusal) {
-		return false
-	}
-	switch refusal.Code {
-	case resultcode.NotLeader, resultcode.NoQuorum, resultcode.ControlUnavailable, resultcode.ChangeOutcomeUnknown:
-		return false
-	}
-	return true
+	return errors.As(err, &refusal) && !refusal.Retryable()
+}
+
+// Metrics returns the metrics of the first entry VM that answers, as JSON.
+func (c *Client) Metrics(ctx context.Context) (json.RawMessage, error) {
+	var metrics json.RawMessage
+	return metrics, c.call(ctx, http.MethodGet, "metrics", nil, &metrics)
 }
