replog: check delayed appends against committed entries

A conflict can only be seen in an append that starts before the commit index; the previous check could never fire. Commit-only appends now respect the window, so that a follower that does not answer gets no more of them.

--- /dev/null
+++ b/replog/core_test.go
@@ -0,0 +1,178 @@
+package replog
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func newCore(t *testing.T, r Restored, voters ...NodeID) *Core {
+	t.Helper()
+	c, err := New(Config{
+		ID: 1, ElectionTicks: testElectionTicks, HeartbeatTicks: 2, Rand: func(int) int { return 0 },
+		Bootstrap: Membership{Voters: voters},
+	}, r)
+	is.New(t).NoErr(err)
+	return c
+}
+
+// settle processes all Readys and returns the answered reads.
+func settle(c *Core) (reads []ReadState) {
+	for c.HasReady() {
+		rd := c.Ready()
+		reads = append(reads, rd.ReadStates...)
+		c.Advance(rd)
+	}
+	return reads
+}
+
+// Guards against commits of earlier terms by counting, commits that count a write that the leader has not persisted, and
+// reads confirmed by heartbeats that are older than the call.
+func TestLeaderCountsAcknowledgements(t *testing.T) {
+	is := is.New(t)
+	durable := Restored{HardState: HardState{Term: 3}, Entries: []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 2}}}
+	c := newCore(t, durable, 1, 2, 3, 4, 5)
+	answer := func(m Message) {
+		m.To, m.Term = 1, 4
+		for m.From = 2; m.From <= 3; m.From++ {
+			is.NoErr(c.Step(m))
+		}
+	}
+	c.startElection(false, false)
+	settle(c)
+	answer(Message{Type: MessageVoteResponse})
+	is.Equal(c.role, RoleLeader)
+	answer(Message{Type: MessageAppendResponse, Index: 2})
+	is.Equal(c.log.commit, uint64(0)) // entry 2 is of an earlier term
+	is.NoErr(c.ReadIndex(7))
+	answer(Message{Type: MessageHeartbeatResponse})
+	answer(Message{Type: MessageAppendResponse, Index: 3})
+	is.Equal(c.log.commit, uint64(0)) // the leader has not persisted entry 3
+	is.Equal(len(settle(c)), 0)
+	is.Equal(c.log.commit, uint64(3))
+	answer(Message{Type: MessageHeartbeatResponse})
+	is.Equal(len(settle(c)), 0) // the heartbeat was sent before the call
+	answer(Message{Type: MessageHeartbeatResponse, Round: 1})
+	is.Equal(settle(c), []ReadState{{Token: 7, Index: 3}})
+	is.True(errors.Is(c.Step(Message{Type: MessageHeartbeat, From: 2, To: 1, Term: 4}), ErrCorrupt)) // second leader
+}
+
+// Guards against two votes in a term, also across a restart, and votes for a log that lacks committed entries.
+func TestVotes(t *testing.T) {
+	for _, tt := range []struct {
+		description           string
+		vote, from            NodeID
+		term, index, lastTerm uint64
+		granted               bool
+	}{
+		{"repeated request of the same candidate", 2, 2, 5, 2, 4, true},
+		{"second candidate of the term", 2, 3, 5, 2, 4, false},
+		{"first vote of a term that is known already", 0, 3, 5, 2, 4, true},
+		{"candidate of a newer term", 2, 3, 6, 2, 4, true},
+		{"shorter log", 2, 3, 6, 1, 4, false},
+		{"longer log of an older term", 2, 3, 6, 9, 3, false},
+		{"shorter log of a newer term", 2, 3, 6, 1, 5, true},
+		{"candidate of an older term", 2, 2, 4, 2, 4, false},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			is := is.New(t)
+			entries := []Entry{{Index: 1, Term: 4}, {Index: 2, Term: 4}}
+			before := HardState{Term: 5, Vote: tt.vote}
+			c := newCore(t, Restored{HardState: before, Entries: entries}, 1, 2, 3)
+			request := Message{Type: MessageVote, From: tt.from, To: 1, Term: tt.term, Index: tt.index, LogTerm: tt.lastTerm}
+			is.NoErr(c.Step(request))
+			rd := c.Ready()
+			is.Equal(rd.Messages[0].Reject, !tt.granted)
+			if after := (HardState{Term: tt.term, Vote: tt.from}); tt.granted && after != before {
+				is.Equal(*rd.HardState, after) // durable before the response is sent
+			}
+		})
+	}
+}
+
+// Guards against a follower that commits or drops entries that the leader's message does not cover.
+func TestFollowerLog(t *testing.T) {
+	snapshot := func(index, term uint64) Message {
+		s := &Snapshot{Index: index, Term: term, Membership: Membership{Voters: []NodeID{1, 2, 3}}}
+		return Message{Type: MessageSnapshot, Snapshot: s}
+	}
+	for _, tt := range []struct {
+		description  string
+		message      Message
+		last, commit uint64
+		reject       bool
+	}{
+		{"gap", Message{Type: MessageAppend, Index: 5, LogTerm: 1}, 3, 1, true},
+		{"other term", Message{Type: MessageAppend, Index: 3, LogTerm: 2}, 3, 1, true},
+		{"commit index after the match", Message{Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 3}, 3, 1, false},
+		{"entries held already", Message{
+			Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 2, Entries: []Entry{{Index: 2, Term: 1}},
+		}, 3, 2, false},
+		{"conflicting entry", Message{
+			Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 3, Entries: []Entry{{Index: 2, Term: 2}},
+		}, 2, 2, false},
+		{"snapshot before the commit index", snapshot(1, 1), 3, 1, false},
+		{"snapshot that matches the log", snapshot(2, 1), 3, 2, false},
+		{"snapshot that conflicts", snapshot(2, 2), 2, 2, false},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			is := is.New(t)
+			entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}
+			c := newCore(t, Restored{HardState: HardState{Term: 2, Commit: 1}, Entries: entries}, 1, 2, 3)
+			tt.message.From, tt.message.To, tt.message.Term = 2, 1, 2
+			is.NoErr(c.Step(tt.message))
+			is.Equal(c.log.last(), tt.last)
+			is.Equal(c.log.commit, tt.commit)
+			is.Equal(c.Ready().Messages[0].Reject, tt.reject)
+		})
+	}
+}
+
+// Guards against entries that are taken for durable although they were replaced while the Ready was processed, and against
+// a snapshot that a replica could not restart from.
+func TestAppendDuringReady(t *testing.T) {
+	is := is.New(t)
+	c := newCore(t, Restored{})
+	is.NoErr(c.Step(Message{Type: MessageAppend, From: 2, To: 1, Term: 1, Entries: []Entry{{Index: 1, Term: 1}}}))
+	rd := c.Ready()
+	is.NoErr(c.Step(Message{Type: MessageAppend, From: 3, To: 1, Term: 2, Commit: 1, Entries: []Entry{{Index: 1, Term: 2}}}))
+	is.Equal(rd.Entries[0].Term, uint64(1)) // not overwritten
+	c.Advance(rd)
+	is.Equal(c.Ready().Entries, []Entry{{Index: 1, Term: 2}})
+	settle(c)
+	_, err := c.SnapshotAt(1, nil)
+	is.True(errors.Is(err, ErrInvalidSnapshot)) // no membership is known
+}
+
+// Guards against a start from storage that lost entries and against messages that would corrupt the log.
+func TestInvalidInput(t *testing.T) {
+	one := Restored{HardState: HardState{Term: 1, Commit: 1}, Entries: []Entry{{Index: 1, Term: 1}}}
+	appended := func(e Entry) Message {
+		return Message{From: 2, To: 1, Type: MessageAppend, Term: 2, Entries: []Entry{e}}
+	}
+	for _, tt := range []struct {
+		description string
+		restored    Restored
+		message     Message
+		want        error
+	}{
+		{"commit index after the end", Restored{HardState: HardState{Commit: 1}}, Message{}, ErrCorrupt},
+		{"gap in the log", Restored{Entries: []Entry{{Index: 2}}}, Message{}, ErrCorrupt},
+		{"snapshot without voters", Restored{Snapshot: Snapshot{Index: 1}}, Message{}, ErrCorrupt},
+		{"message to another replica", Restored{}, Message{From: 2, To: 3}, ErrInvalidMessage},
+		{"unknown type", Restored{}, Message{From: 2, To: 1, Type: 99}, ErrInvalidMessage},
+		{"missing snapshot", Restored{}, Message{From: 2, To: 1, Type: MessageSnapshot}, ErrInvalidMessage},
+		{"gap in a message", Restored{}, appended(Entry{Index: 2, Term: 1}), ErrInvalidMessage},
+		{"malformed membership", Restored{}, appended(Entry{Index: 1, Kind: EntryMembership}), ErrInvalidMessage},
+		{"replacement of a committed entry", one, appended(Entry{Index: 1, Term: 2}), ErrCorrupt},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			c, err := New(Config{ID: 1, ElectionTicks: 10, HeartbeatTicks: 1, Rand: func(int) int { return 0 }}, tt.restored)
+			if err == nil {
+				err = c.Step(tt.message)
+			}
+			is.New(t).True(errors.Is(err, tt.want))
+		})
+	}
+}
--- a/replog/doc.go
+++ b/replog/doc.go
@@ -14,9 +14,9 @@
 //
 // For every Ready, in this order:
 //
-//  1. Make Snapshot, HardState and Entries durable. Entries replace stored entries with the same or a higher index. A
-//     Snapshot replaces the stored log up to Snapshot.Index, and the whole log unless the stored entry at that index has
-//     the term Snapshot.Term.
+//  1. Make durable, in this order, Snapshot, HardState and Entries. Entries replace stored entries with the same or a
+//     higher index. A Snapshot replaces the stored log up to Snapshot.Index, and the whole log unless the stored entry at
+//     that index has the term Snapshot.Term.
 //  2. Send Messages. Sending before step 1 is complete breaks the guarantee.
 //  3. Restore the state machine from Snapshot if it is set, then apply Committed in order.
 //  4. Call Advance with the same Ready before the next call of Ready.
--- a/replog/follower.go
+++ b/replog/follower.go
@@ -6,6 +6,11 @@
 func (c *Core) handleAppend(m Message) error {
 	if m.Index < c.log.commit {
 		// Delayed message; everything committed matches the leader's log.
+		for _, e := range m.Entries {
+			if e.Index <= c.log.commit && e.Index > c.log.snapshot.Index && !c.log.matches(e.Index, e.Term) {
+				return fmt.Errorf("%w: replica %d replaces committed entry %d", ErrCorrupt, m.From, e.Index)
+			}
+		}
 		c.acknowledge(m.From, c.log.commit)
 		return nil
 	}
@@ -20,12 +25,8 @@
 	position, conflict := c.log.firstMissing(m.Entries)
 	missing := m.Entries[position:]
 	if conflict {
-		first := missing[0].Index
-		if first <= c.log.commit {
-			return fmt.Errorf("%w: replica %d replaces committed entry %d", ErrCorrupt, m.From, first)
-		}
-		c.log.truncate(first)
-		c.history.truncate(first)
+		c.log.truncate(missing[0].Index)
+		c.history.truncate(missing[0].Index)
 	}
 	c.log.append(missing...)
 	if err := c.history.add(missing); err != nil {
--- /dev/null
+++ b/replog/network_test.go
@@ -0,0 +1,380 @@
+package replog
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+const (
+	testElectionTicks = 10
+	testMessageBytes  = 64
+)
+
+type link struct{ from, to NodeID }
+
+type packet struct {
+	due int
+	m   Message
+}
+
+// replica is a Core with its storage and a state machine that is a digest of all applied entries.
+type replica struct {
+	id        NodeID
+	bootstrap Membership
+	core      *Core // nil while crashed
+	durable   Restored
+	pending   *Ready // not yet persisted
+	paused    int    // no tick and no message arrives before this time
+	applied   uint64
+	digest    uint64
+}
+
+// network connects replicas, injects faults and checks the guarantee at every step.
+type network struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      int
+	replicas []*replica
+	lost     map[NodeID]bool // replicas whose storage is gone
+	cut      map[link]bool
+	drop     func(Message) bool
+	packets  []packet
+
+	// Probabilities of a lost message, a duplicate, a crash during a Ready and a Ready that takes another step.
+	lossRate, duplicateRate, crashRate, slowRate, longDelayRate float64
+
+	maxDelay int
+
+	leaders   map[uint64]NodeID   // by term
+	appended  map[[2]uint64]Entry // by index and term
+	previous  map[[2]uint64]uint64
+	committed []Entry
+	knownIn   []uint64 // term of the replica that first applied the entry; not before the term of its commit
+	digests   []uint64 // by applied index
+	readFloor map[uint64]uint64
+	reads     map[uint64]uint64 // answered index by token
+}
+
+func newNetwork(t *testing.T, seed int64, voters int) *network {
+	n := &network{
+		t: t, rng: rand.New(rand.NewSource(seed)), lost: map[NodeID]bool{}, cut: map[link]bool{},
+		leaders: map[uint64]NodeID{}, appended: map[[2]uint64]Entry{}, previous: map[[2]uint64]uint64{},
+		digests: []uint64{0}, readFloor: map[uint64]uint64{}, reads: map[uint64]uint64{},
+	}
+	var m Membership
+	for i := range voters {
+		m.Voters = append(m.Voters, NodeID(i+1))
+	}
+	for range voters {
+		n.add(m)
+	}
+	return n
+}
+
+// add starts a replica under the next id.
+func (n *network) add(bootstrap Membership) *replica {
+	r := &replica{id: NodeID(len(n.replicas) + 1), bootstrap: bootstrap}
+	n.replicas = append(n.replicas, r)
+	n.start(r)
+	return r
+}
+
+func (n *network) start(r *replica) {
+	core, err := New(Config{
+		ID: r.id, ElectionTicks: testElectionTicks, HeartbeatTicks: 2, Rand: n.rng.Intn, Bootstrap: r.bootstrap,
+		MaxMessageBytes: testMessageBytes,
+	}, r.durable)
+	if err != nil {
+		n.t.Fatalf("restart of replica %d: %v", r.id, err)
+	}
+	r.core, r.pending, r.applied, r.digest = core, nil, 0, 0
+	if r.durable.Snapshot.Index > 0 {
+		n.restore(r, r.durable.Snapshot)
+	}
+}
+
+func (n *network) restore(r *replica, s Snapshot) {
+	r.applied, r.digest = s.Index, binary.BigEndian.Uint64(s.Data)
+	if n.digests[r.applied] != r.digest {
+		n.t.Fatalf("replica %d restored a different state at index %d", r.id, r.applied)
+	}
+}
+
+func (n *network) crash(r *replica) { r.core, r.pending = nil, nil }
+
+func (n *network) loseDisk(r *replica) {
+	n.crash(r)
+	n.lost[r.id] = true
+}
+
+// run advances time; faults apply as configured.
+func (n *network) run(ticks int) {
+	for range ticks {
+		n.now++
+		for _, r := range n.replicas {
+			if r.core != nil && r.paused <= n.now {
+				r.core.Tick()
+				n.work(r)
+			}
+		}
+		due := slices.Clone(n.packets)
+		n.packets = n.packets[:0]
+		for _, p := range due {
+			if p.due > n.now || n.replicas[p.m.To-1].paused > n.now {
+				n.packets = append(n.packets, p)
+				continue
+			}
+			n.deliver(p.m)
+		}
+	}
+}
+
+func (n *network) deliver(m Message) {
+	r := n.replicas[m.To-1]
+	if r.core == nil || n.cut[link{m.From, m.To}] {
+		return
+	}
+	if err := r.core.Step(m); err != nil {
+		n.t.Fatalf("replica %d: message %+v: %v", r.id, m, err)
+	}
+	n.work(r)
+}
+
+func (n *network) send(m Message) {
+	if n.rng.Float64() < n.lossRate || n.drop != nil && n.drop(m) {
+		return
+	}
+	copies := 1
+	if n.rng.Float64() < n.duplicateRate {
+		copies = 2
+	}
+	for range copies {
+		delay := n.rng.Intn(n.maxDelay + 1)
+		if n.rng.Float64() < n.longDelayRate {
+			delay = n.rng.Intn(10 * testElectionTicks)
+		}
+		n.packets = append(n.packets, packet{n.now + 1 + delay, m})
+	}
+}
+
+// work processes Readys in the order that the package comment requires.
+func (n *network) work(r *replica) {
+	for r.core != nil {
+		n.checkLeader(r)
+		if r.pending == nil {
+			if !r.core.HasReady() {
+				return
+			}
+			rd := r.core.Ready()
+			r.pending = &rd
+		}
+		if n.rng.Float64() < n.slowRate {
+			return
+		}
+		rd, stage := *r.pending, 4
+		r.pending = nil
+		if n.rng.Float64() < n.crashRate {
+			stage = n.rng.Intn(4)
+		}
+		n.process(r, rd, stage)
+	}
+}
+
+// process crashes the replica after stage unless that is 4. In stage 0 only a part is written.
+func (n *network) process(r *replica, rd Ready, stage int) {
+	parts := 2 + len(rd.Entries)
+	if stage == 0 {
+		parts = n.rng.Intn(parts)
+	}
+	n.persist(r, rd, parts)
+	if stage >= 2 {
+		for _, m := range rd.Messages {
+			n.send(m)
+		}
+	}
+	if stage >= 3 {
+		n.apply(r, rd)
+	}
+	if stage < 4 {
+		n.crash(r)
+		return
+	}
+	r.core.Advance(rd)
+}
+
+// persist writes the first parts of the snapshot, the hard state and each entry.
+func (n *network) persist(r *replica, rd Ready, parts int) {
+	d := &r.durable
+	if s := rd.Snapshot; s != nil && parts > 0 {
+		d.Snapshot, d.Entries = *s, nil
+	}
+	if rd.HardState != nil && parts > 1 {
+		d.HardState = *rd.HardState
+	}
+	for i, e := range rd.Entries {
+		n.checkAppended(r, e)
+		if i < parts-2 {
+			d.Entries = append(slices.Clone(d.Entries[:e.Index-d.Snapshot.Index-1]), e)
+		}
+	}
+}
+
+func (n *network) apply(r *replica, rd Ready) {
+	if rd.Snapshot != nil {
+		n.restore(r, *rd.Snapshot)
+	}
+	for _, e := range rd.Committed {
+		n.checkCommitted(r, e)
+		h := fnv.New64a()
+		h.Write(binary.BigEndian.AppendUint64(slices.Clone(e.Data), r.digest))
+		r.applied, r.digest = e.Index, h.Sum64()
+		if len(n.digests) == int(e.Index) {
+			n.digests = append(n.digests, r.digest)
+		}
+		if n.digests[e.Index] != r.digest {
+			n.t.Fatalf("state machine of replica %d differs at index %d", r.id, e.Index)
+		}
+	}
+	for _, s := range rd.ReadStates {
+		if s.Index < n.readFloor[s.Token] {
+			n.t.Fatalf("read %d got index %d after %d was complete", s.Token, s.Index, n.readFloor[s.Token])
+		}
+		n.reads[s.Token] = s.Index
+	}
+}
+
+// checkLeader checks that a term has one leader, and that it holds every entry committed in earlier terms. A leader of
+// an older term whose votes were late may lack entries of newer terms.
+func (n *network) checkLeader(r *replica) {
+	s := r.core.Status()
+	if s.Role != RoleLeader || n.leaders[s.Term] == r.id {
+		return
+	}
+	if !r.core.mayLead() {
+		n.t.Fatalf("learner %d leads term %d", r.id, s.Term)
+	}
+	if other := n.leaders[s.Term]; other != 0 {
+		n.t.Fatalf("replicas %d and %d lead term %d", other, r.id, s.Term)
+	}
+	n.leaders[s.Term] = r.id
+	for i, e := range n.committed {
+		if n.knownIn[i] < s.Term && e.Index > s.Compacted && !r.core.log.matches(e.Index, e.Term) {
+			n.t.Fatalf("leader %d of term %d lacks committed entry %d", r.id, s.Term, e.Index)
+		}
+	}
+}
+
+// checkAppended checks log matching: an index and a term determine the entry and the term before it.
+func (n *network) checkAppended(r *replica, e Entry) {
+	key := [2]uint64{e.Index, e.Term}
+	before, ok := r.core.log.term(e.Index - 1)
+	if !ok || !r.core.log.matches(e.Index, e.Term) {
+		return // Replaced or compacted since the Ready was built.
+	}
+	if old, seen := n.appended[key]; seen {
+		if string(old.Data) != string(e.Data) || old.Kind != e.Kind || n.previous[key] != before {
+			n.t.Fatalf("replica %d holds a different entry %d of term %d", r.id, e.Index, e.Term)
+		}
+	}
+	n.appended[key], n.previous[key] = e, before
+}
+
+func (n *network) checkCommitted(r *replica, e Entry) {
+	if e.Index != r.applied+1 {
+		n.t.Fatalf("replica %d applies index %d after %d", r.id, e.Index, r.applied)
+	}
+	if len(n.committed) < int(e.Index) {
+		n.committed, n.knownIn = append(n.committed, e), append(n.knownIn, r.core.term)
+	}
+	if c := n.committed[e.Index-1]; c.Term != e.Term || string(c.Data) != string(e.Data) {
+		n.t.Fatalf("replica %d applies another entry at index %d", r.id, e.Index)
+	}
+}
+
+// leader returns the leader of the newest term, or nil.
+func (n *network) leader() (leader *replica) {
+	for _, r := range n.replicas {
+		if r.core != nil && r.core.role == RoleLeader && (leader == nil || r.core.term > leader.core.term) {
+			leader = r
+		}
+	}
+	return leader
+}
+
+// await runs until the condition holds.
+func (n *network) await(what string, condition func() bool) {
+	n.t.Helper()
+	for range 400 {
+		if condition() {
+			return
+		}
+		n.run(1)
+	}
+	n.t.Fatalf("%s: not within 400 ticks", what)
+}
+
+// elect returns a leader that accepts membership changes.
+func (n *network) elect() *replica {
+	n.t.Helper()
+	n.await("election", func() bool { return n.leader() != nil && n.leader().core.committedInTerm() })
+	return n.leader()
+}
+
+// write proposes until a command is committed.
+func (n *network) write(data string) {
+	n.t.Helper()
+	n.await("write of "+data, func() bool {
+		if r := n.elect(); !n.has(data) {
+			_, _, _ = r.core.Propose([]byte(data))
+			n.work(r)
+			n.run(4)
+		}
+		return n.has(data)
+	})
+}
+
+// has tells whether a command was applied.
+func (n *network) has(data string) bool {
+	return slices.ContainsFunc(n.committed, func(e Entry) bool { return string(e.Data) == data })
+}
+
+// change proposes a membership change until it is accepted and committed.
+func (n *network) change(kind ChangeKind, id NodeID) {
+	n.t.Helper()
+	n.await("membership change", func() bool {
+		_, _, err := n.elect().core.ProposeMembership(MembershipChange{kind, id})
+		if err != nil && !errors.Is(err, ErrLearnerBehind) && !errors.Is(err, ErrChangePending) {
+			n.t.Fatalf("change %d of replica %d: %v", kind, id, err)
+		}
+		return err == nil
+	})
+	n.run(4)
+	n.await("commit of the change", func() bool { return !n.elect().core.Status().ChangePending })
+}
+
+// isolate cuts the links to and from a replica.
+func (n *network) isolate(id NodeID, inbound, outbound bool) {
+	for _, r := range n.replicas {
+		n.cut[link{r.id, id}] = n.cut[link{r.id, id}] || inbound
+		n.cut[link{id, r.id}] = n.cut[link{id, r.id}] || outbound
+	}
+}
+
+func (n *network) heal() { n.cut = map[link]bool{} }
+
+// awaitEqual runs until all running members applied the same index.
+func (n *network) awaitEqual() {
+	n.t.Helper()
+	n.await("equal replicas", func() bool {
+		l := n.elect()
+		return !slices.ContainsFunc(n.replicas, func(r *replica) bool {
+			return r.core != nil && l.core.membership().Contains(r.id) && r.applied != l.core.log.last()
+		})
+	})
+}
+
+func (r *replica) snapshotData() []byte { return binary.BigEndian.AppendUint64(nil, r.digest) }
--- a/replog/progress.go
+++ b/replog/progress.go
@@ -50,7 +50,7 @@
 	case progressProbe:
 		return !p.probeSent && p.match < last
 	case progressReplicate:
-		return p.resend || p.next <= last && p.window() || p.sentCommit < min(commit, p.next-1)
+		return p.resend || p.window() && (p.next <= last || p.sentCommit < min(commit, p.next-1))
 	}
 	return false
 }
--- a/replog/ready.go
+++ b/replog/ready.go
@@ -70,14 +70,10 @@
 // appliedBase is the index after which entries are to be applied: a pending snapshot is applied first.
 func (c *Core) appliedBase() uint64 { return max(c.log.applied, c.log.snapshot.Index) }
 
-// hardState is the state to persist. Its commit index covers only what is durable already, so that a crash in the middle
-// of a write never leaves it after the end of the stored log.
+// hardState is the state to persist. Its commit index covers only what is durable already, or with the snapshot written
+// before it, so that a crash in the middle of a write never leaves it after the end of the stored log.
 func (c *Core) hardState() HardState {
-	commit := min(c.log.commit, c.log.stable)
-	if c.log.snapshotPending {
-		commit = c.persisted.Commit
-	}
-	return HardState{Term: c.term, Vote: c.vote, Commit: commit}
+	return HardState{Term: c.term, Vote: c.vote, Commit: min(c.log.commit, c.log.stable)}
 }
 
 func (c *Core) hardStateDue() bool { return c.term != c.persisted.Term || c.vote != c.persisted.Vote }
--- /dev/null
+++ b/replog/scenario_test.go
@@ -0,0 +1,354 @@
+package replog
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// other returns a running replica that is none of the given ones.
+func (n *network) other(not ...*replica) *replica {
+	for _, r := range n.replicas {
+		if r.core != nil && !slices.Contains(not, r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Guards against a leader behind a partition that commits, answers reads or keeps its role.
+func TestStaleLeader(t *testing.T) {
+	for _, tt := range []struct {
+		description       string
+		inbound, outbound bool
+	}{
+		{"it hears nothing", true, false},
+		{"it is not heard", false, true},
+		{"it is cut off both ways", true, true},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(t, 1, 3)
+			n.write("before")
+			stale := n.elect()
+			n.isolate(stale.id, tt.inbound, tt.outbound)
+			index, term, err := stale.core.Propose([]byte("stale"))
+			is.NoErr(err)
+			is.NoErr(stale.core.ReadIndex(1))
+			n.work(stale)
+			n.await("another leader", func() bool {
+				is.True(stale.core.log.commit < index || stale.core.term > term)
+				return n.leader() != nil && n.leader() != stale
+			})
+			n.write("after")
+			is.True(stale.core.role != RoleLeader)
+			n.heal()
+			n.awaitEqual()
+			_, answered := n.reads[1]
+			is.True(!answered)
+			is.True(!tt.outbound || !n.has("stale"))
+		})
+	}
+}
+
+// Guards against a replica that deposes a leader which others hear.
+func TestLeaderIsNotDisturbed(t *testing.T) {
+	for _, tt := range []struct {
+		description string
+		cut         func(n *network, leader, r NodeID)
+	}{
+		{"a replica returns from a partition", func(n *network, _, r NodeID) { n.isolate(r, true, true) }},
+		{"a replica hears nobody", func(n *network, _, r NodeID) { n.isolate(r, true, false) }},
+		{"a replica does not hear the leader", func(n *network, l, r NodeID) { n.cut[link{l, r}] = true }},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(t, 1, 3)
+			l := n.elect()
+			term := l.core.term
+			tt.cut(n, l.id, n.other(l).id)
+			n.run(100)
+			n.heal()
+			n.run(100)
+			is.Equal(l.core.role, RoleLeader)
+			is.Equal(l.core.term, term)
+		})
+	}
+}
+
+// Guards against a repaired replica that counts as a voter before it holds everything.
+func TestSecondLossAfterRepair(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, 3)
+	n.write("before")
+	l := n.elect()
+	lost := n.other(l)
+	n.loseDisk(lost)
+	n.write("with two")
+	repaired := n.add(Membership{})
+	n.change(ChangeAddLearner, repaired.id)
+	n.isolate(repaired.id, true, true)
+	n.write("not yet on the learner")
+	_, _, err := n.elect().core.ProposeMembership(MembershipChange{ChangePromoteLearner, repaired.id})
+	is.True(errors.Is(err, ErrLearnerBehind))
+	n.heal()
+	n.change(ChangeRemove, lost.id)
+	n.change(ChangePromoteLearner, repaired.id)
+	n.loseDisk(n.elect())
+	n.write("after") // the network checks that the new leader holds every committed entry
+	n.awaitEqual()
+	is.True(n.has("before") && n.has("with two") && n.has("not yet on the learner"))
+}
+
+// Guards against a five-voter group that cannot lose a third replica after two were demoted.
+func TestLossAfterDemotion(t *testing.T) {
+	n := newNetwork(t, 1, 5)
+	n.write("before")
+	first := n.other(n.elect())
+	n.crash(first)
+	second := n.other(n.elect())
+	n.crash(second)
+	n.run(2 * testElectionTicks)
+	n.change(ChangeDemoteVoter, first.id)
+	n.change(ChangeDemoteVoter, second.id)
+	n.crash(n.elect())
+	n.write("with two of five")
+	n.start(first)
+	n.start(second)
+	n.awaitEqual()
+}
+
+// Guards against changes that could lose committed entries or the majority.
+func TestMembershipRefusals(t *testing.T) {
+	type prepare func(n *network, l *replica) (at *replica, change MembershipChange)
+	only := func(kind ChangeKind, id NodeID) prepare {
+		return func(_ *network, l *replica) (*replica, MembershipChange) { return l, MembershipChange{kind, id} }
+	}
+	add := MembershipChange{ChangeAddLearner, 9}
+	isolateTwo := func(n *network, l *replica) (reachable *replica) {
+		a := n.other(l)
+		b := n.other(l, a)
+		n.isolate(a.id, true, true)
+		n.isolate(b.id, true, true)
+		return n.other(l, a, b)
+	}
+	for _, tt := range []struct {
+		description string
+		voters      int
+		prepare     prepare
+		want        error
+	}{
+		{"promotion of a voter", 3, only(ChangePromoteLearner, 1), ErrInvalidChange},
+		{"addition of a member", 3, only(ChangeAddLearner, 1), ErrInvalidChange},
+		{"removal of a replica that is no member", 3, only(ChangeRemove, 9), ErrInvalidChange},
+		{"demotion of a replica that is no voter", 3, only(ChangeDemoteVoter, 9), ErrInvalidChange},
+		{"addition of id zero", 3, only(ChangeAddLearner, 0), ErrInvalidChange},
+		{"unknown kind", 3, only(9, 1), ErrInvalidChange},
+		{"removal of the last voter", 1, only(ChangeRemove, 1), ErrInvalidChange},
+		{"not the leader", 3, func(n *network, l *replica) (*replica, MembershipChange) {
+			return n.other(l), add
+		}, ErrNotLeader},
+		{"a change is uncommitted", 3, func(_ *network, l *replica) (*replica, MembershipChange) {
+			_, _, _ = l.core.ProposeMembership(MembershipChange{ChangeAddLearner, 8})
+			return l, add
+		}, ErrChangePending},
+		{"a transfer runs", 3, func(n *network, l *replica) (*replica, MembershipChange) {
+			_ = l.core.TransferLeadership(n.other(l).id)
+			return l, add
+		}, ErrTransferring},
+		{"no entry of the term is committed", 3, func(n *network, l *replica) (*replica, MembershipChange) {
+			n.drop = func(m Message) bool { return m.Type == MessageAppendResponse }
+			n.crash(l)
+			n.await("leader", func() bool { return n.leader() != nil })
+			return n.leader(), add
+		}, ErrTermNotCommitted},
+		{"two voters are silent", 5, func(n *network, l *replica) (*replica, MembershipChange) {
+			reachable := isolateTwo(n, l)
+			n.run(2 * testElectionTicks)
+			return l, MembershipChange{ChangeDemoteVoter, reachable.id}
+		}, ErrNoReachableMajority},
+		{"two voters are silent since the election", 5, func(n *network, l *replica) (*replica, MembershipChange) {
+			next := isolateTwo(n, l)
+			_ = l.core.TransferLeadership(next.id)
+			n.await("transfer", func() bool { return next.core.role == RoleLeader && next.core.committedInTerm() })
+			return next, MembershipChange{ChangeDemoteVoter, l.id}
+		}, ErrNoReachableMajority},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			n := newNetwork(t, 1, tt.voters)
+			n.elect()
+			n.awaitEqual()
+			r, change := tt.prepare(n, n.leader())
+			_, _, err := r.core.ProposeMembership(change)
+			is.New(t).True(errors.Is(err, tt.want))
+		})
+	}
+}
+
+// Guards against a change that stays in force after its entry was replaced.
+func TestMembershipRollback(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, 3)
+	stale := n.elect()
+	n.isolate(stale.id, true, true)
+	_, _, err := stale.core.ProposeMembership(MembershipChange{ChangeDemoteVoter, n.other(stale).id})
+	is.NoErr(err)
+	is.Equal(len(stale.core.membership().Voters), 2) // in force when appended
+	n.await("another leader", func() bool { return n.leader() != nil && n.leader() != stale })
+	n.write("other")
+	n.heal()
+	n.awaitEqual()
+	is.Equal(stale.core.membership().Voters, []NodeID{1, 2, 3})
+}
+
+// Guards against a leader without a vote that stays, and a group that waits for a timeout or
+// cannot elect a leader when the entry did not spread before a crash.
+func TestLeaderDemotesItself(t *testing.T) {
+	for _, tt := range []struct {
+		description string
+		crash       bool
+	}{{"the entry spreads", false}, {"the leader crashes first", true}} {
+		t.Run(tt.description, func(t *testing.T) {
+			is := is.New(t)
+			n := newNetwork(t, 1, 2)
+			old := n.elect()
+			n.awaitEqual()
+			_, _, err := old.core.ProposeMembership(MembershipChange{ChangeDemoteVoter, old.id})
+			is.NoErr(err)
+			if tt.crash {
+				n.isolate(old.id, false, true)
+				n.work(old)
+				n.crash(old)
+				n.run(10 * testElectionTicks)
+				n.heal()
+				n.start(old)
+			} else {
+				n.run(testElectionTicks - 1)
+				is.True(n.leader() != nil && n.leader() != old)
+			}
+			n.write("after")
+			n.awaitEqual()
+			is.True(old.core.membership().IsLearner(old.id))
+			is.True(n.leader() != old)
+		})
+	}
+}
+
+// Guards against a transfer that waits for a timeout, never ends, or leaves a replica behind
+// whose term is newer than the leader's.
+func TestLeadershipTransfer(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, 3)
+	l := n.elect()
+	n.awaitEqual()
+	target := n.other(l)
+	is.True(errors.Is(l.core.TransferLeadership(l.id), ErrInvalidTarget))
+	n.isolate(target.id, true, true)
+	is.NoErr(l.core.TransferLeadership(target.id))
+	_, _, err := l.core.Propose(nil)
+	is.True(errors.Is(err, ErrTransferring))
+	n.run(testElectionTicks)
+	n.write("after an aborted transfer")
+	n.heal()
+	n.awaitEqual()
+
+	n.drop = func(m Message) bool { return m.Type == MessageVote }
+	is.NoErr(l.core.TransferLeadership(target.id))
+	n.await("failed election", func() bool { return target.core.term > l.core.term })
+	n.drop = nil
+	n.await("return to one term", func() bool { return target.core.term <= l.core.term && n.leader() != nil })
+	n.awaitEqual()
+
+	l = n.elect()
+	target = n.other(l)
+	is.NoErr(l.core.TransferLeadership(target.id))
+	n.run(testElectionTicks - 1)
+	is.Equal(n.leader(), target)
+}
+
+// Guards against a follower that stays behind when the only message that would bring it up is lost.
+func TestLostMessages(t *testing.T) {
+	for _, tt := range []struct {
+		description string
+		lost        MessageType
+		compact     bool
+	}{
+		{"append", MessageAppend, false},
+		{"acknowledgement", MessageAppendResponse, false},
+		{"snapshot", MessageSnapshot, true},
+		{"acknowledgement of a snapshot", MessageAppendResponse, true},
+	} {
+		t.Run(tt.description, func(t *testing.T) {
+			n := newNetwork(t, 1, 3)
+			l := n.elect()
+			n.awaitEqual()
+			f := n.other(l)
+			lost := 0
+			n.drop = func(m Message) bool {
+				concerns := m.Type == tt.lost && (m.To == f.id || m.From == f.id && !m.Reject)
+				if concerns {
+					lost++
+				}
+				return concerns && lost == 1
+			}
+			if tt.compact {
+				n.crash(f)
+				n.write("while it is down")
+				n.awaitEqual()
+				n.compact(l)
+				n.start(f)
+			} else {
+				_, _, _ = l.core.Propose([]byte("last"))
+			}
+			n.awaitEqual()
+			is.New(t).True(lost >= 1)
+			is.New(t).Equal(f.core.log.snapshot.Index > 0, tt.compact)
+		})
+	}
+}
+
+// Guards against unbounded pipelining to a follower that does not answer, messages over the limit,
+// and a search for the end of a conflict that takes a message per entry.
+func TestReplicationBounds(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(t, 1, 3)
+	stale := n.elect()
+	n.awaitEqual()
+	f := n.other(stale)
+	appends, rejections := 0, 0
+	n.drop = func(m Message) bool {
+		size := 0
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		is.True(size <= testMessageBytes)
+		if m.To == f.id && m.From == stale.id && size > 0 {
+			appends++
+		}
+		if m.Reject && m.Type == MessageAppendResponse {
+			rejections++
+		}
+		return false
+	}
+	n.isolate(stale.id, true, true)
+	for i := range 300 {
+		_, _, err := stale.core.Propose(fmt.Appendf(nil, "stale %d", i))
+		is.NoErr(err)
+		n.work(stale)
+	}
+	n.run(testElectionTicks / 2)
+	is.Equal(appends, maxInflightAppends)
+	_, _, err := stale.core.Propose(make([]byte, testMessageBytes+1))
+	is.True(errors.Is(err, ErrTooLarge))
+	n.await("another leader", func() bool { return n.leader() != nil && n.leader() != stale })
+	for i := range 100 {
+		n.write(fmt.Sprintf("kept %d", i))
+	}
+	rejections = 0
+	n.heal()
+	n.awaitEqual()
+	is.True(rejections <= 3)
+}
