--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,8 @@
 	fromPeer bool
 	latency  time.Duration
 	report   admission.Report
+	// responded is true once the scheduler knows the latency, while the body is still on its way.
+	responded bool
 
 	// resp is the response; complete is true where small holds its whole body.
 	resp     *http.Response
@@ -142,7 +144,7 @@
 	if a.guarded {
 		a.endGuard(a.cut)
 	}
-	if result == admission.Neutral && a.latency == 0 && !a.started.IsZero() {
+	if result == admission.Neutral && a.latency == 0 && !a.responded && !a.started.IsZero() {
 		a.latency = time.Since(a.started)
 	}
 	a.service.done(a.assignment, admission.Outcome{Result: result, Latency: a.latency, Report: a.report})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -64,7 +62,7 @@
 // interrupted ends a try whose request was sent and whose response did not arrive, or not whole.
 func (a *attempt) interrupted(err error) {
 	switch {
-	case a.ctx.Err() != nil && errors.Is(a.ctx.Err(), context.DeadlineExceeded):
+	case a.ctx.Err() != nil && !time.Now().Before(a.c.deadline):
 		a.err = resultcode.Errorf(resultcode.DeadlineAfterStart, "the deadline passed before the response was complete")
 		a.end(a.blame())
 	case a.ctx.Err() != nil:
@@ -81,9 +79,9 @@
 }
 
 // blame is the result of a try whose connection failed. A connection that was used before may have become unresponsive
-// on its own, which is not counted against the upstream.
+// on its own, and a long response may have been slow because its caller was. Neither is counted against the upstream.
 func (a *attempt) blame() admission.Result {
-	if a.reused {
+	if a.reused || a.responded {
 		return admission.Neutral
 	}
 	return admission.Failed
@@ -115,7 +113,7 @@
 		a.service.send(event{kind: eventResponded, assignment: a.assignment, outcome: admission.Outcome{
 			Latency: a.latency, Report: a.report,
 		}})
-		a.latency, a.report = 0, admission.Report{}
+		a.latency, a.report, a.responded = 0, admission.Report{}, true
 		return
 	}
 	a.small = make([]byte, length)
--- a/internal/gateway/integrity_test.go
+++ b/internal/gateway/integrity_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/bramleypick/bramleypick/controlstate"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -159,6 +160,27 @@
 	}
 }
 
+// Guards against an upstream looking slow because callers gave up long downloads.
+func TestAbandonedDownloads(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.only("n1")
+		w.get()
+		w.upstream("n1").set(func(_ *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+			resp := respond(r, http.StatusOK, "")
+			chunked(resp)
+			resp.Body = endless{ctx, make(chan struct{})}
+			return resp, ExchangeOutcome{BytesWritten: written}, nil
+		})
+		w.setView(func(v *controlstate.View) { v.Config.Services[0].ColdSlots = 1 })
+		for range 5 {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			w.doContext(ctx, http.MethodGet, "/desk/level")
+			cancel()
+		}
+		w.is.Equal(w.g.Status().Services[0].Upstreams[0].Limit, 3)
+	})
+}
+
 // inFlight is what the gateway counts on all upstreams.
 func (w *world) inFlight() int {
 	n := 0
