admission: count requests of former owners against the cold-start ramp

A random test over three successive owners found that a new owner could add its cold slots to what a former owner still ran on a cold upstream. Status reports what a release must carry: own requests and those of former owners, or the count gets lost with the second hand-over.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -95,7 +95,13 @@
 			loseAndRegain(func(u *Upstream) { u.OwnerLost = true })(b)
 			b.wait(time.Minute - 1)
 		}, 0},
-		{"released with two remaining", true, loseAndRegain(func(u *Upstream) { u.Remaining = 2 }), 1},
+		{"released with two remaining", true, loseAndRegain(func(u *Upstream) { u.Remaining = 2 }), 0},
+		{"released with two remaining, then a report that it is not cold", true, func(b *bench) {
+			loseAndRegain(func(u *Upstream) { u.Remaining = 2 })(b)
+			b.wait(time.Second)
+			b.wait(quietTime)
+			b.answerProbes(Report{BootID: "boot-1", HasLoad: true, InFlight: 2, Slots: 3, HasCold: true})
+		}, 1},
 		{"released with nothing remaining starts cold until a report", true, loseAndRegain(func(*Upstream) {}), 1},
 		{"new boot id learned with the new ownership, report not cold", true, func(b *bench) {
 			loseAndRegain(func(u *Upstream) { u.BootID = "boot-2" })(b)
--- /dev/null
+++ b/admission/owners_test.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// shared is one upstream as it really is, and the gateways that own it in turn.
+type shared struct {
+	t        *testing.T
+	random   *rand.Rand
+	gateways []*bench
+	owner    int
+	info     Upstream
+	// fresh counts the requests completed since the last restart.
+	fresh int
+}
+
+// running is how many requests really run, over all gateways.
+func (s *shared) running() int {
+	n := 0
+	for _, g := range s.gateways {
+		n += len(g.running["u"])
+	}
+	return n
+}
+
+func (s *shared) publish() {
+	for i, g := range s.gateways {
+		u := s.info
+		u.Owned, u.Assigned = i == s.owner, true
+		g.set(u)
+	}
+}
+
+// move changes the owner. A lost one reports nothing; its requests run on.
+func (s *shared) move(lost bool) {
+	s.info.OwnerLost, s.info.Remaining = lost, 0
+	if !lost {
+		s.gateways[s.owner].s.Upstreams(s.gateways[s.owner].now, func(u UpstreamStatus) {
+			s.info.Remaining = u.InFlight + u.Foreign
+		})
+	}
+	s.owner = (s.owner + 1 + s.random.IntN(len(s.gateways)-1)) % len(s.gateways)
+	s.info.Epoch++
+	s.publish()
+}
+
+// restart ends everything that runs. The owner may learn of it from a later response instead of the view.
+func (s *shared) restart(boot int) {
+	s.info.BootID, s.info.OwnerLost, s.info.Remaining, s.fresh = "boot-"+strconv.Itoa(boot), false, 0, 0
+	for _, g := range s.gateways {
+		for len(g.running["u"]) > 0 {
+			g.running["u"] = g.running["u"][1:]
+		}
+	}
+	for _, g := range s.gateways {
+		for _, u := range g.s.order {
+			for len(u.inFlight) > 0 {
+				g.s.Done(Assignment{UpstreamID: "u", Epoch: u.info.Epoch, id: u.inFlight[0].id}, Outcome{Result: Failed}, g.now)
+			}
+		}
+	}
+	s.publish()
+}
+
+// finish ends a random request.
+func (s *shared) finish() {
+	i := s.random.IntN(len(s.gateways))
+	if len(s.gateways[i].running["u"]) == 0 {
+		return
+	}
+	s.fresh++
+	// The report was made while the request still counted.
+	report := Report{BootID: s.info.BootID, HasLoad: true, InFlight: s.running(), Slots: s.info.Slots}
+	s.gateways[i].end("u", Outcome{Result: Succeeded, Latency: 4 * time.Millisecond, Report: report})
+}
+
+// Guards against successive owners together exceeding what an upstream can hold, in whatever order it is handed over,
+// lost with its owner, and restarted.
+func TestLimitOverAllOwners(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			is := is.New(t)
+			s := &shared{t: t, random: rand.New(rand.NewPCG(seed, 2)), info: owned("u")}
+			cfg := testConfig()
+			cfg.ProbesPerSecond, cfg.ProbeBytesPerSecond = 20, 1<<20
+			for range 3 {
+				s.gateways = append(s.gateways, newBench(t, cfg))
+			}
+			s.publish()
+			completed := 0
+			for step := range 4000 {
+				for _, g := range s.gateways {
+					g.now = g.now.Add(time.Millisecond)
+				}
+				owner := s.gateways[s.owner]
+				owner.fill(max(0, 5-owner.s.Queued()))
+				switch n := s.random.IntN(400); {
+				case n < 3:
+					s.move(n == 0)
+				case n == 3:
+					s.restart(step)
+				case n < 200:
+					s.finish()
+					completed++
+				}
+				for _, g := range s.gateways {
+					g.answerProbes(Report{BootID: s.info.BootID, HasLoad: true, InFlight: s.running(), Slots: 3, HasCold: true, Cold: s.fresh < rampCompletions})
+				}
+				is.True(s.running() <= 3)
+				if s.fresh < rampCompletions {
+					is.True(s.running() <= 1) // In cold start.
+				}
+			}
+			is.True(completed > 1000)
+		})
+	}
+}
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -59,9 +59,10 @@
 	return u.info.Owned && !u.info.Stopping && !u.info.Moving
 }
 
-// limit is how many requests of this gateway the upstream may hold.
+// limit is how many requests of this gateway the upstream may hold. Requests of former owners count against the ramp too:
+// an upstream in cold start cannot tell them apart.
 func (u *upstream) limit() int {
-	return max(0, min(u.ramp.limit, u.slots-u.foreign))
+	return max(0, min(u.ramp.limit, u.slots)-u.foreign)
 }
 
 // free is how many more requests the upstream may get now.
--- a/internal/gateway/serviceview.go
+++ b/internal/gateway/serviceview.go
@@ -96,7 +96,8 @@
 	}
 	s.scheduler.Upstreams(now, func(u admission.UpstreamStatus) {
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
-			ID: u.ID, Epoch: u.Epoch, Owned: u.Owned, Stopping: u.Stopping, MovingTo: moving[u.ID], InFlight: u.InFlight,
+			ID: u.ID, Epoch: u.Epoch, Owned: u.Owned, Stopping: u.Stopping, MovingTo: moving[u.ID],
+			InFlight: u.InFlight, Remaining: u.InFlight + u.Foreign,
 			Limit: u.Limit, Cold: u.Cold, Ejected: u.Ejected,
 		})
 	})
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -31,7 +31,11 @@
 	Owned    bool
 	Stopping bool
 	MovingTo uint64
+	// InFlight is how many requests of this gateway run there.
 	InFlight int
+	// Remaining is how many requests of this gateway and of former owners may run there: what a release must report, so
+	// that the next owner counts all of them.
+	Remaining int
 	// Limit is how many requests the upstream may hold now.
 	Limit int
 	Cold  bool
