gateway: forward requests that lose their last upstream while waiting

In a trial with six processes a request that waited at a gateway of the stopped zone was refused with 1010 although peers owned upstreams. One of which nothing was sent yet is now forwarded, still only once.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,7 +51,6 @@
 
 	fingerprint string
 	claim       *claimRequest
-	waiter      *waiter
 
 	// tries counts the tries, cuts those whose connection was cut, exclude lists the upstreams they used.
 	tries, cuts int
--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -37,7 +37,7 @@
 // waiter is a request in the queue and the channel for its one grant.
 type waiter struct {
 	request admission.Request
-	// mayForward is true for a request that came directly from a caller.
+	// mayForward is true for a request that came directly from a caller and of which nothing was sent yet.
 	mayForward bool
 	grant      chan grant
 }
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -68,6 +68,24 @@
 		{"nothing owned, the peer fails an idempotent request", func(w *world) {
 			w.peerServes(fails(0, errors.New("stream broken")))
 		}, (*world).get, 1, resultcode.OutcomeUnknown},
+		{"waiting when the last owned upstream is taken", func(w *world) { busy(w) }, func(w *world) answer {
+			wait := several(1, w.get)
+			w.setView(func(v *controlstate.View) { v.Upstreams[0].Owner, v.Upstreams[0].Epoch = peerSession, 2 })
+			return wait()[0]
+		}, 1, resultcode.OK},
+		{"connecting when the last owned upstream is taken", func(w *world) {
+			w.only("n1")
+			w.upstream("n1").onConnect = func() {
+				w.setView(func(v *controlstate.View) { v.Upstreams[0].Owner, v.Upstreams[0].Epoch = peerSession, 2 })
+			}
+		}, func(w *world) answer { return w.callout("k") }, 1, resultcode.OK},
+		{"sent before the last owned upstream is taken", func(w *world) {
+			w.only("n1")
+			w.upstream("n1").set(func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+				w.setView(func(v *controlstate.View) { v.Upstreams[0].Owner, v.Upstreams[0].Epoch = peerSession, 2 })
+				return fails(1, errors.New("broken"))(u, ctx, r)
+			})
+		}, (*world).get, 0, resultcode.BrokenResponse},
 		{"the peer refuses with a code", func(w *world) {
 			w.peerServes(changed(http.StatusServiceUnavailable, "{}", func(resp *http.Response) { resp.Header.Set(headerCode, "1008") }))
 		}, (*world).get, 1, resultcode.QueueFull},
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -2,22 +2,18 @@
 
 import "github.com/bramleypick/bramleypick/resultcode"
 
-// queued waits for an upstream, or for the news that a peer gateway should take the request.
+// queued counts the request in for the retry budget. Each try then waits on its own.
 func (g *Gateway) queued(next handler) handler {
 	return func(c *call) error {
 		c.service.runtime.retries.FirstTry()
-		c.waiter = newWaiter(c.request())
-		c.waiter.mayForward = !c.forwarded
 		return next(c)
 	}
 }
 
-// wait puts the call into the queue. After the first time it is never forwarded.
+// wait waits in the queue for an upstream, or for the news that a peer gateway should take the request.
 func (g *Gateway) wait(c *call) (grant, *resultcode.Error) {
-	if c.tries > 0 {
-		c.waiter = newWaiter(c.request())
-	}
 	c.tries++
-	got, err := c.service.runtime.acquire(c.ctx, c.waiter)
-	return got, err
+	w := newWaiter(c.request())
+	w.mayForward = !c.forwarded && c.failure == nil
+	return c.service.runtime.acquire(c.ctx, w)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -115,7 +115,7 @@
 
 func (s *service) enqueue(w *waiter, now time.Time) {
 	if w.mayForward {
-		if peer := s.forwardTarget(now); peer != 0 {
+		if peer := s.forwardTarget(now, s.scheduler.Usable() == 0); peer != 0 {
 			w.grant <- grant{forwardTo: peer}
 			return
 		}
@@ -130,7 +130,7 @@
 		d.Request.Value.(*waiter).grant <- grant{assignment: d.Assignment, assigned: true}
 	}
 	for _, r := range actions.Rejections {
-		r.Request.Value.(*waiter).grant <- grant{reason: r.Reason}
+		s.reject(r, now)
 	}
 	for _, p := range actions.Probes {
 		s.probe(p)
@@ -147,6 +147,19 @@
 	}
 }
 
+// reject ends the wait of a request. One that no owned upstream can take any more, as when its zone is stopped, goes to a
+// peer instead.
+func (s *service) reject(r admission.Rejection, now time.Time) {
+	w := r.Request.Value.(*waiter)
+	if r.Reason == admission.ReasonNoUpstream && w.mayForward {
+		if peer := s.forwardTarget(now, true); peer != 0 {
+			w.grant <- grant{forwardTo: peer}
+			return
+		}
+	}
+	w.grant <- grant{reason: r.Reason}
+}
+
 // acquire waits for an assignment. A grant without one carries a peer to forward to.
 func (s *service) acquire(ctx context.Context, w *waiter) (grant, *resultcode.Error) {
 	select {
