--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,9 +99,7 @@
 		a.elsewhere() // A limit of this gateway, not a fault of the upstream.
 		return nil
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		a.service.reportSuspect(a.service.guard.Refused(a.upstream.ID, time.Now()))
-	}
+	a.service.noteRefusal(a.upstream.ID, err)
 	a.g.log.Info("connect to upstream", zap.String("upstream", a.upstream.ID), zap.Error(err))
 	a.err = resultcode.Errorf(resultcode.NoUpstream, "no connection to the upstream")
 	a.again = true
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -45,6 +45,13 @@
 	})
 }
 
+// noteRefusal tells the crash guard about a refused connection, which confirms that an upstream is gone.
+func (s *service) noteRefusal(upstreamID string, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.reportSuspect(s.guard.Refused(upstreamID, time.Now()))
+	}
+}
+
 // isCut tells whether an exchange ended because its connection was reset or closed.
 func isCut(err error) bool {
 	return errors.Is(err, upstreamconn.ErrCut) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) ||
--- a/internal/gateway/integrity_test.go
+++ b/internal/gateway/integrity_test.go
@@ -230,10 +230,15 @@
 	return len(p), nil
 }
 
-// Guards against a request that crashes upstreams taking a third one with it.
+// Guards against a request that crashes upstreams taking a third one with it, at once or when its caller sends it again,
+// and against refusing others with it.
 func TestCrashingRequest(t *testing.T) {
 	inWorld(t, func(w *world) {
+		w.setView(func(v *controlstate.View) { v.Config.Services[0].ProbesPerSecond = 1 })
 		w.each(func(u *fakeUpstream, ctx context.Context, r *http.Request) (*http.Response, ExchangeOutcome, error) {
+			if r.URL.Path != "/desk/level" {
+				return respond(r, http.StatusOK, "fine"), ExchangeOutcome{BytesWritten: written}, nil
+			}
 			u.mu.Lock()
 			u.refuse = true
 			u.mu.Unlock()
@@ -241,10 +246,13 @@
 		})
 		w.is.Equal(w.get().code, resultcode.UpstreamConnectionCut)
 		w.is.Equal(w.started(), 2)
-		w.do(http.MethodGet, "/desk/level/other") // Finds the connections refused.
+		time.Sleep(3 * time.Second) // Virtual: probes find the connections refused.
 		synctest.Wait()
+		w.is.Equal(w.get().code, resultcode.FingerprintBlocked)
+		w.is.Equal(w.do(http.MethodGet, "/desk/level/other").body, "fine")
+		w.is.Equal(w.started(), 3)
 		w.crashes.mu.Lock()
 		defer w.crashes.mu.Unlock()
-		w.is.True(len(w.crashes.reports) >= 1)
+		w.is.Equal(len(w.crashes.reports), 2)
 	})
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -26,7 +26,7 @@
 func (s *service) probe(p admission.Probe) {
 	u := s.g.snapshot.Load().upstream(s.name, p.UpstreamID)
 	go func() {
-		result := s.g.measure(s.name, u, p)
+		result := s.measure(u, p)
 		s.g.metrics.probe(s.name, result.Bytes)
 		if result.OK {
 			s.reportSuspect(s.guard.Boot(p.UpstreamID, result.Report.BootID, time.Now()))
@@ -35,17 +35,18 @@
 	}()
 }
 
-func (g *Gateway) measure(service string, u *upstreamView, p admission.Probe) (result admission.ProbeResult) {
-	if u == nil || u.pool == nil || g.mayStart(service, p.UpstreamID, p.Epoch) != startAllowed {
+func (s *service) measure(u *upstreamView, p admission.Probe) (result admission.ProbeResult) {
+	if u == nil || u.pool == nil || s.g.mayStart(s.name, p.UpstreamID, p.Epoch) != startAllowed {
 		return result
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.ProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.g.cfg.ProbeTimeout)
 	defer cancel()
 	conn, err := u.pool.Connect(ctx, false)
 	if err != nil {
+		s.noteRefusal(u.ID, err)
 		return result
 	}
-	if g.mayStart(service, p.UpstreamID, p.Epoch) != startAllowed {
+	if s.g.mayStart(s.name, p.UpstreamID, p.Epoch) != startAllowed {
 		conn.Close()
 		return result
 	}
