--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +34,8 @@
 	fromPeer bool
 	latency  time.Duration
 	report   admission.Report
+	// responded is true once the scheduler knows the latency, while the body is still on its way.
+	responded bool
 
 	// resp is the response; complete is true where small holds its whole body.
 	resp     *http.Response
@@ -98,9 +99,7 @@
 		a.elsewhere() // A limit of this gateway, not a fault of the upstream.
 		return nil
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		a.service.reportSuspect(a.service.guard.Refused(a.upstream.ID, time.Now()))
-	}
+	a.service.noteRefusal(a.upstream.ID, err)
 	a.g.log.Info("connect to upstream", zap.String("upstream", a.upstream.ID), zap.Error(err))
 	a.err = resultcode.Errorf(resultcode.NoUpstream, "no connection to the upstream")
 	a.again = true
@@ -142,7 +141,7 @@
 	if a.guarded {
 		a.endGuard(a.cut)
 	}
-	if result == admission.Neutral && a.latency == 0 && !a.started.IsZero() {
+	if result == admission.Neutral && a.latency == 0 && !a.responded && !a.started.IsZero() {
 		a.latency = time.Since(a.started)
 	}
 	a.service.done(a.assignment, admission.Outcome{Result: result, Latency: a.latency, Report: a.report})
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -28,6 +28,8 @@
 	// peerOwners are the other sessions that own upstreams which may get work.
 	peerOwners map[uint64]bool
 	draining   []draining
+	// queued is the queue length last recorded.
+	queued int
 }
 
 // foreignMargin covers what an upstream may take to notice that a request's deadline has passed.
@@ -113,7 +115,7 @@
 
 func (s *service) enqueue(w *waiter, now time.Time) {
 	if w.mayForward {
-		if peer := s.forwardTarget(now); peer != 0 {
+		if peer := s.forwardTarget(now, s.scheduler.Usable() == 0); peer != 0 {
 			w.grant <- grant{forwardTo: peer}
 			return
 		}
@@ -128,12 +130,15 @@
 		d.Request.Value.(*waiter).grant <- grant{assignment: d.Assignment, assigned: true}
 	}
 	for _, r := range actions.Rejections {
-		r.Request.Value.(*waiter).grant <- grant{reason: r.Reason}
+		s.reject(r, now)
 	}
 	for _, p := range actions.Probes {
 		s.probe(p)
 	}
-	s.g.metrics.queue(s.name, s.scheduler.Queued())
+	if queued := s.scheduler.Queued(); queued != s.queued {
+		s.queued = queued
+		s.g.metrics.queue(s.name, queued)
+	}
 	s.notifyDrained()
 	if actions.Wake.IsZero() {
 		timer.Reset(time.Hour)
@@ -142,6 +147,19 @@
 	}
 }
 
+// reject ends the wait of a request. One that no owned upstream can take any more, as when its zone is stopped, goes to a
+// peer instead.
+func (s *service) reject(r admission.Rejection, now time.Time) {
+	w := r.Request.Value.(*waiter)
+	if r.Reason == admission.ReasonNoUpstream && w.mayForward {
+		if peer := s.forwardTarget(now, true); peer != 0 {
+			w.grant <- grant{forwardTo: peer}
+			return
+		}
+	}
+	w.grant <- grant{reason: r.Reason}
+}
+
 // acquire waits for an assignment. A grant without one carries a peer to forward to.
 func (s *service) acquire(ctx context.Context, w *waiter) (grant, *resultcode.Error) {
 	select {
