--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -22,6 +22,8 @@
 	zoneFaultLag = 50 * time.Millisecond // from the acceptance of the stop to the fault
 	zoneReturnAt = 9 * time.Second
 	zoneRunTime  = 15 * time.Second
+	// zoneWarmUp is the load before, in which every upstream leaves its cold start.
+	zoneWarmUp = 5 * time.Second
 	// zoneFreeze is how long the frozen gateway stays frozen: well past the end of its lease.
 	zoneFreeze = 5 * time.Second
 	// stoppedZone is the zone that leaves and returns.
@@ -110,7 +112,7 @@
 	if err := c.waitOwned(ctx, run.Sizes.Upstreams); err != nil {
 		return run, err
 	}
-	if _, err := loadgen.Run(ctx, c.zoneLoad(tailWarmUp, 1)); err != nil {
+	if _, err := loadgen.Run(ctx, c.zoneLoad(zoneWarmUp, 1)); err != nil {
 		return run, err
 	}
 	if _, err := c.reports(ctx, true); err != nil {
--- a/internal/experiment/zone_load.go
+++ b/internal/experiment/zone_load.go
@@ -28,7 +28,8 @@
 type zoneService struct {
 	name string
 	// counts are the upstreams in each zone.
-	counts []int
+	counts   []int
+	coldWork int
 	// workMillis is how long a request holds a slot, in ms.
 	workMillis float64
 	class      dynconfig.Class
@@ -38,15 +39,17 @@
 
 func zoneServices() []zoneService {
 	resend := loadgen.Resend{Max: 3, DelayMillis: 100, AttemptTimeoutMillis: 4000, NotRun: true}
+	// A download takes longer than an attempt of the others may.
+	resendDownload := loadgen.Resend{Max: 3, DelayMillis: 100, NotRun: true}
 	return []zoneService{
 		{
-			name: "status", counts: []int{7, 7, 6}, workMillis: 40,
+			name: "status", counts: []int{7, 7, 6}, coldWork: zoneColdWork, workMillis: 40,
 			class: dynconfig.Class{Name: "check", Method: "GET", PathPrefix: "/status", Idempotent: true, Priority: 10, TimeoutMillis: 5000},
 			flags: []string{"--service-ms", "40"},
 			load:  loadgen.Class{Name: "check", Service: "status", Path: "/status/panels/17", Resend: resend},
 		},
 		{
-			name: "dispatch", counts: []int{4, 3, 3}, workMillis: 100,
+			name: "dispatch", counts: []int{4, 3, 3}, coldWork: zoneColdWork, workMillis: 100,
 			class: dynconfig.Class{Name: "callout", Method: "POST", PathPrefix: "/dispatch/callouts", Priority: 100, TimeoutMillis: 5000},
 			flags: []string{"--service-ms", "100"},
 			load: loadgen.Class{
@@ -54,10 +57,10 @@
 			},
 		},
 		{
-			name: "archive", counts: []int{2, 2, 2}, workMillis: 1000 * downloadBytes / downloadBytesPerSec,
-			class: dynconfig.Class{Name: "download", Method: "GET", PathPrefix: "/archive", Idempotent: true, TimeoutMillis: 8000},
+			name: "archive", counts: []int{2, 2, 2}, coldWork: zoneColdWorkDownload, workMillis: 1000 * downloadBytes / downloadBytesPerSec,
+			class: dynconfig.Class{Name: "download", Method: "GET", PathPrefix: "/archive", Idempotent: true, TimeoutMillis: 12000},
 			flags: []string{"--response-bytes", fmt.Sprint(downloadBytes), "--stream-bytes-per-s", fmt.Sprint(downloadBytesPerSec)},
-			load:  loadgen.Class{Name: "download", Service: "archive", Path: "/archive/logs/17", Resend: resend},
+			load:  loadgen.Class{Name: "download", Service: "archive", Path: "/archive/logs/17", Resend: resendDownload, TimeoutMillis: 13000},
 		},
 	}
 }
@@ -91,7 +94,7 @@
 	for _, s := range zoneServices() {
 		for i, zone := range trialZones {
 			flags := append(slices.Clone(s.flags), "--one-way-delay-ms", "0.5", "--cold-slots", fmt.Sprint(zoneColdSlots),
-				"--cold-work", fmt.Sprint(zoneColdWork), "--cold-factor", fmt.Sprint(zoneColdFactor))
+				"--cold-work", fmt.Sprint(s.coldWork), "--cold-factor", fmt.Sprint(zoneColdFactor))
 			groups = append(groups, upstreamGroup{service: s.name, zone: zone, count: s.counts[i], slots: zoneSlots, flags: flags})
 		}
 	}
