--- a/internal/experiment/zone_load.go
+++ b/internal/experiment/zone_load.go
@@ -15,13 +15,15 @@
 
 const (
 	// zoneLoadPercent is the load in percent of all slots; with a third of them gone it is 90 % of the rest.
-	zoneLoadPercent     = 60
-	zoneSlots           = 3
-	zoneColdSlots       = 1
-	zoneColdWork        = 20
-	zoneColdFactor      = 2
-	downloadBytes       = 100_000
-	downloadBytesPerSec = 50_000
+	zoneLoadPercent = 60
+	zoneSlots       = 3
+	zoneColdSlots   = 1
+	// zoneColdWork is the completed requests that make an upstream warm. Downloads are long, so that fewer do.
+	zoneColdWork         = 20
+	zoneColdWorkDownload = 3
+	zoneColdFactor       = 2
+	downloadBytes        = 100_000
+	downloadBytesPerSec  = 50_000
 )
 
 // zoneService is one service of the zone experiment, sized as the smaller user's.
