--- a/replog/core_test.go
+++ b/replog/core_test.go
@@ -103,23 +103,23 @@
 		last, commit uint64
 		reject       bool
 	}{
-		{"gap", Message{Type: MessageAppend, Index: 5, LogTerm: 1}, 3, 1, true},
-		{"other term", Message{Type: MessageAppend, Index: 3, LogTerm: 2}, 3, 1, true},
-		{"commit index after the match", Message{Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 3}, 3, 1, false},
+		{"gap", Message{Type: MessageAppend, Index: 6, LogTerm: 1}, 4, 2, true},
+		{"other term", Message{Type: MessageAppend, Index: 4, LogTerm: 2}, 4, 2, true},
+		{"commit index after the match", Message{Type: MessageAppend, Index: 2, LogTerm: 1, Commit: 4}, 4, 2, false},
 		{"entries held already", Message{
-			Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 2, Entries: []Entry{{Index: 2, Term: 1}},
-		}, 3, 2, false},
+			Type: MessageAppend, Index: 2, LogTerm: 1, Commit: 3, Entries: []Entry{{Index: 3, Term: 1}},
+		}, 4, 3, false},
 		{"conflicting entry", Message{
-			Type: MessageAppend, Index: 1, LogTerm: 1, Commit: 3, Entries: []Entry{{Index: 2, Term: 2}},
-		}, 2, 2, false},
-		{"snapshot before the commit index", snapshot(1, 1), 3, 1, false},
-		{"snapshot that matches the log", snapshot(2, 1), 3, 2, false},
-		{"snapshot that conflicts", snapshot(2, 2), 2, 2, false},
+			Type: MessageAppend, Index: 2, LogTerm: 1, Commit: 4, Entries: []Entry{{Index: 3, Term: 2}},
+		}, 3, 3, false},
+		{"snapshot before the commit index", snapshot(1, 1), 4, 2, false},
+		{"snapshot that matches the log", snapshot(3, 1), 4, 3, false},
+		{"snapshot that conflicts", snapshot(3, 2), 3, 3, false},
 	} {
 		t.Run(tt.description, func(t *testing.T) {
 			is := is.New(t)
-			entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}}
-			c := newCore(t, Restored{HardState: HardState{Term: 2, Commit: 1}, Entries: entries}, 1, 2, 3)
+			entries := []Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}, {Index: 3, Term: 1}, {Index: 4, Term: 1}}
+			c := newCore(t, Restored{HardState: HardState{Term: 2, Commit: 2}, Entries: entries}, 1, 2, 3)
 			tt.message.From, tt.message.To, tt.message.Term = 2, 1, 2
 			is.NoErr(c.Step(tt.message))
 			is.Equal(c.log.last(), tt.last)
