--- a/controlstate/bench_test.go
+++ b/controlstate/bench_test.go
@@ -149,9 +149,9 @@
 	}
 	first := len(h.m.PlanAssignments())
 	b.Run("after a session change", func(b *testing.B) {
-		for n := 0; b.Loop(); n++ {
+		for b.Loop() {
 			c := openSession("extra", "a")
-			c.OpenID = fmt.Sprint("extra-", n)
+			c.OpenID = fmt.Sprint("extra-", h.index)
 			id := h.apply(c).SessionID
 			h.m.PlanAssignments()
 			h.apply(controlstate.ExpireSession{SessionID: id})
@@ -161,8 +161,8 @@
 	b.Run("after an upstream change", func(b *testing.B) {
 		u := upstream("service-0", "a", 0)
 		u.Address = "10.2.0.1:8080"
-		for n := 0; b.Loop(); n++ {
-			u.BootID = fmt.Sprint("boot-", n)
+		for b.Loop() {
+			u.BootID = fmt.Sprint("boot-", h.index)
 			h.apply(u)
 			h.m.PlanAssignments()
 		}
