controlstate: remember upstreams where requests of a lost gateway may run

A stop was reported as complete only when the leader had led for longer than the longest class timeout, because only its memory told which sessions had ended. With the example's downloads of up to ten minutes, scripts/quickstart timed out: no stop could complete within ten minutes of an election. The state now notes for each upstream when a session with possible requests there expired, so a new leader knows, and upstreams without such a loss do not wait.

--- a/controlstate/assign.go
+++ b/controlstate/assign.go
@@ -1,6 +1,10 @@
 package controlstate
 
-import "github.com/bramleypick/bramleypick/resultcode"
+import (
+	"slices"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
 
 func (m *Machine) assign(c *Assign) Result {
 	u, session := m.state.upstreams.byID[c.UpstreamID], m.state.sessions.byID[c.SessionID]
@@ -49,11 +53,23 @@
 		to = 0
 	}
 	u.Remaining, u.OwnerLost = c.Remaining, false
+	u.noteRelease(c.SessionID)
 	m.setOwner(u, to)
 	m.removeIfOrphan(u)
 	return Result{Epoch: u.Epoch}
 }
 
+// noteRelease remembers who may still have requests in flight. A release without remaining requests says that nobody has.
+func (u *UpstreamInfo) noteRelease(session uint64) {
+	if u.Remaining == 0 {
+		u.ReleasedBy = nil
+		return
+	}
+	if len(u.ReleasedBy) < maxReleasedBy && !slices.Contains(u.ReleasedBy, session) {
+		u.ReleasedBy = append(slices.Clone(u.ReleasedBy), session)
+	}
+}
+
 // setOwner changes the owner, or takes it away with 0, and ends a hand-over.
 func (m *Machine) setOwner(u *UpstreamInfo, session uint64) {
 	u.Owner, u.MovingTo = session, 0
@@ -64,6 +80,11 @@
 // freeUpstreams takes the upstreams of an expired session away from it.
 func (m *Machine) freeUpstreams(session uint64) {
 	for _, u := range m.state.upstreams.byID {
+		if u.Owner == session || slices.Contains(u.ReleasedBy, session) {
+			u.OrphanedAtUnixMilli = m.state.now
+			u.ReleasedBy = slices.DeleteFunc(slices.Clone(u.ReleasedBy), func(id uint64) bool { return id == session })
+			m.changed()
+		}
 		if u.Owner == session {
 			u.Remaining, u.OwnerLost = 0, true
 			m.setOwner(u, 0)
--- a/controlstate/limits.go
+++ b/controlstate/limits.go
@@ -25,6 +25,8 @@
 	maxSlots        = 10_000
 	maxConnections  = 100_000
 	maxRemaining    = 1_000_000
+	// maxReleasedBy bounds UpstreamInfo.ReleasedBy; an upstream changes hands a few times at most while one request runs.
+	maxReleasedBy = 16
 	// maxUnixMilli is the year 9999. It keeps sums of times far from overflow.
 	maxUnixMilli = 253_402_300_799_999
 )
--- a/controlstate/upstreams.go
+++ b/controlstate/upstreams.go
@@ -80,15 +80,16 @@
 }
 
 func (m *Machine) updateUpstream(u *UpstreamInfo, c *RegisterUpstream) {
-	before := *u
+	if u.BootID == c.BootID && u.Slots == c.Slots && u.MaxConnections == c.MaxConnections {
+		return
+	}
 	if u.BootID != c.BootID {
 		// Requests of earlier owners ended with the process that ran them.
 		u.BootID, u.Remaining, u.OwnerLost = c.BootID, 0, false
+		u.ReleasedBy, u.OrphanedAtUnixMilli = nil, 0
 	}
 	u.Slots, u.MaxConnections = c.Slots, c.MaxConnections
-	if *u != before {
-		m.changed()
-	}
+	m.changed()
 }
 
 // fault returns what is wrong with the fields, or "".
--- a/controlstate/upstreams_test.go
+++ b/controlstate/upstreams_test.go
@@ -101,7 +101,7 @@
 			r.ok(release)
 			r.is.Equal(r.do(release).Code, resultcode.StaleEpoch) // the second one changes nothing
 			want := u
-			want.Owner, want.Epoch, want.Remaining = 0, u.Epoch+1, 2
+			want.Owner, want.Epoch, want.Remaining, want.ReleasedBy = 0, u.Epoch+1, 2, []uint64{u.Owner}
 			if test.handed {
 				want.Owner = next
 			}
@@ -133,7 +133,7 @@
 		}
 	}
 	want := u
-	want.Owner, want.Epoch, want.OwnerLost = 0, u.Epoch+1, true
+	want.Owner, want.Epoch, want.OwnerLost, want.OrphanedAtUnixMilli = 0, u.Epoch+1, true, r.now
 	r.is.Equal(r.m.View().Upstreams[0], want)
 	r.is.Equal(r.m.Counts().Claims.OutcomeUnknown, 1)
 }
@@ -211,3 +211,49 @@
 	r.now++
 	r.is.True(r.open("gw", "b") != first)
 }
+
+// Guards against a stop that is reported as complete while requests of a lost gateway may run, also those that it left behind
+// when it handed the upstream over.
+func TestOrphanedRequests(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		remaining   int
+		then        func(r *replica, first uint64, u controlstate.UpstreamInfo)
+		orphaned    bool
+	}{
+		{"handed over with requests, then lost", 1, func(r *replica, first uint64, _ controlstate.UpstreamInfo) {
+			r.ok(controlstate.ExpireSession{SessionID: first})
+		}, true},
+		{"handed over without requests, then lost", 0, func(r *replica, first uint64, _ controlstate.UpstreamInfo) {
+			r.ok(controlstate.ExpireSession{SessionID: first})
+		}, false},
+		{"handed over twice, the requests ended before the second", 1, func(r *replica, first uint64, u controlstate.UpstreamInfo) {
+			r.ok(controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner})
+			r.ok(controlstate.ExpireSession{SessionID: first})
+		}, false},
+		{"handed over twice with requests", 1, func(r *replica, first uint64, u controlstate.UpstreamInfo) {
+			r.ok(controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner, Remaining: 1})
+			r.ok(controlstate.ExpireSession{SessionID: first})
+		}, true},
+		{"upstream restarted after the loss", 1, func(r *replica, first uint64, u controlstate.UpstreamInfo) {
+			r.ok(controlstate.ExpireSession{SessionID: first})
+			r.ok(controlstate.RegisterUpstream{
+				ID: u.ID, Service: u.Service, Address: u.Address, Zone: u.Zone, BootID: "boot-2", Slots: u.Slots, MaxConnections: u.MaxConnections,
+			})
+		}, false},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			r, u := ready(t, controlstate.Options{})
+			next := r.open("gw-b", "b")
+			r.ok(controlstate.Assign{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: next})
+			r.ok(controlstate.Release{UpstreamID: u.ID, Epoch: u.Epoch, SessionID: u.Owner, Remaining: test.remaining})
+			r.now += 5
+			test.then(r, u.Owner, r.m.View().Upstreams[0])
+			want := int64(0)
+			if test.orphaned {
+				want = r.now
+			}
+			r.is.Equal(r.m.View().Upstreams[0].OrphanedAtUnixMilli, want)
+		})
+	}
+}
--- a/controlstate/view.go
+++ b/controlstate/view.go
@@ -44,6 +44,11 @@
 	// OwnerLost is true where the last owner's session expired without a release: an unknown number of its requests, at
 	// most Slots, may still run there.
 	OwnerLost bool `cbor:"12,keyasint,omitempty"`
+	// ReleasedBy lists the sessions that gave the upstream up with requests in flight there, since it last was free of them.
+	ReleasedBy []uint64 `cbor:"13,keyasint,omitempty"`
+	// OrphanedAtUnixMilli is when a session expired that could have requests in flight here, on the leader's wall clock, in ms
+	// since the Unix epoch; 0 for never. Such requests run until their deadlines at the latest.
+	OrphanedAtUnixMilli int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // BlockedFingerprint is a request fingerprint that gateways refuse.
--- a/internal/controlplane/confirmations.go
+++ b/internal/controlplane/confirmations.go
@@ -15,36 +15,26 @@
 	busy          []controlproto.BusyUpstream
 }
 
-// endedSession is a session whose lease ran out under this leader.
-type endedSession struct {
-	gateway string
-	at      time.Time
-}
-
-// confirmations remembers, for one term, what each session confirmed and which sessions ended. A new leader starts with
-// none, so it claims nothing that it did not hear itself.
+// confirmations remembers, for one term, what each session confirmed. A new leader starts with none, so it claims nothing
+// that it did not hear itself.
 type confirmations struct {
-	mu        sync.Mutex
-	term      uint64
-	startedAt time.Time
-	sessions  map[uint64]confirmation
-	ended     map[uint64]endedSession
+	mu       sync.Mutex
+	term     uint64
+	sessions map[uint64]confirmation
 }
 
 func newConfirmations() *confirmations {
 	c := &confirmations{}
-	c.reset(0, time.Time{})
+	c.reset(0)
 	return c
 }
 
 // reset starts a term.
-func (c *confirmations) reset(term uint64, now time.Time) {
+func (c *confirmations) reset(term uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.term = term
-	c.startedAt = now
 	c.sessions = make(map[uint64]confirmation)
-	c.ended = make(map[uint64]endedSession)
 }
 
 func (c *confirmations) record(term uint64, renew *controlproto.Renew, now time.Time) {
@@ -55,25 +45,6 @@
 	}
 }
 
-// markEnded notes a session whose lease ran out: its requests may run at upstreams until their deadlines.
-func (c *confirmations) markEnded(sessionID uint64, gateway string, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended[sessionID] = endedSession{gateway: gateway, at: now}
-	delete(c.sessions, sessionID)
-}
-
-// forgetEndedBefore drops ended sessions that cannot have requests in flight any more.
-func (c *confirmations) forgetEndedBefore(t time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for id, e := range c.ended {
-		if e.at.Before(t) {
-			delete(c.ended, id)
-		}
-	}
-}
-
 func (c *confirmations) session(id uint64) (confirmation, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,15 +64,3 @@
 	}
 	return lowest
 }
-
-// endedSince returns the gateways whose sessions ended after t, and whether this term is too young to know them all.
-func (c *confirmations) endedSince(t time.Time) (gateways []string, incomplete bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, e := range c.ended {
-		if e.at.After(t) {
-			gateways = append(gateways, e.gateway)
-		}
-	}
-	return gateways, c.startedAt.After(t)
-}
--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -20,8 +20,6 @@
 	maxParallelProposals = 32
 	// voterAdjustInterval is the pause between two looks at the set of voters.
 	voterAdjustInterval = time.Second
-	// endedSessionMemory is how long ended sessions are remembered; it exceeds the longest class timeout that is accepted.
-	endedSessionMemory = 2 * time.Hour
 )
 
 // Run performs the leader's duties whenever this replica leads, until ctx ends.
@@ -72,7 +70,7 @@
 		return false
 	}
 	now := time.Now()
-	s.confirmations.reset(term, now)
+	s.confirmations.reset(term)
 	s.leases.Reset(term, now, sessionIDs(s.views.current()))
 	s.cfg.Log.Info("leading", zap.Uint64("term", term))
 	return true
@@ -86,11 +84,9 @@
 		if info := s.views.current().Session(id); info != nil {
 			gateway = info.Gateway
 		}
-		s.confirmations.markEnded(id, gateway, now)
 		s.proposeOwn(ctx, controlstate.Command{Kind: controlstate.KindExpireSession, ExpireSession: &controlstate.ExpireSession{SessionID: id}})
 		s.cfg.Log.Warn("session expired", zap.Uint64("session", id), zap.String("gateway", gateway))
 	}
-	s.confirmations.forgetEndedBefore(now.Add(-endedSessionMemory))
 }
 
 func (s *Server) assignUpstreams(ctx context.Context) {
--- a/internal/controlplane/stops.go
+++ b/internal/controlplane/stops.go
@@ -9,9 +9,13 @@
 	"github.com/bramleypick/bramleypick/internal/controlproto"
 )
 
+// clockTolerance covers the difference between the wall clocks of two leaders, where one recorded the loss of a gateway and the
+// next one judges how long ago that was.
+const clockTolerance = 2 * time.Second
+
 // stopReports tells for each planned stop what it still waits for. "Stopped" means that no gateway, reachable or not, can have
 // work at the stopped upstreams: each live session confirmed the configuration and has nothing in flight there, and each
-// session that ended has been gone for longer than a request may take.
+// session that was lost has been gone for longer than its requests may run.
 func (s *Server) stopReports(view *controlstate.View, now time.Time) []controlproto.StopReport {
 	var reports []controlproto.StopReport
 	for _, stop := range view.Config.Stops {
@@ -41,17 +45,20 @@
 			}
 		}
 	}
-	return append(waiting, s.endedSessionsWaits(longestTimeout(view, affected), now)...)
+	return append(waiting, orphanWaits(view, affected, now)...)
 }
 
-func (s *Server) endedSessionsWaits(longest time.Duration, now time.Time) []string {
+// orphanWaits lists the affected upstreams where requests of a gateway that was lost may still run.
+func orphanWaits(view *controlstate.View, affected map[string]bool, now time.Time) []string {
 	var waiting []string
-	gateways, incomplete := s.confirmations.endedSince(now.Add(-longest))
-	for _, g := range gateways {
-		waiting = append(waiting, fmt.Sprintf("a session of gateway %s ended less than %v ago; its requests may still run", g, longest))
-	}
-	if incomplete {
-		waiting = append(waiting, fmt.Sprintf("the leader was elected less than %v ago and does not know which sessions ended before", longest))
+	for _, u := range view.Upstreams {
+		if !affected[u.ID] || u.OrphanedAtUnixMilli == 0 {
+			continue
+		}
+		until := time.UnixMilli(u.OrphanedAtUnixMilli).Add(longestTimeout(view, u.Service) + clockTolerance)
+		if left := until.Sub(now); left > 0 {
+			waiting = append(waiting, fmt.Sprintf("requests of a gateway that was lost may run at upstream %s for another %v", u.ID, left.Round(time.Second)))
+		}
 	}
 	return waiting
 }
@@ -66,17 +73,15 @@
 	return affected
 }
 
-// longestTimeout returns the longest class timeout of the services that the upstreams belong to: no request runs longer.
-func longestTimeout(view *controlstate.View, affected map[string]bool) time.Duration {
+// longestTimeout returns the longest class timeout of a service: none of its requests runs longer.
+func longestTimeout(view *controlstate.View, name string) time.Duration {
+	service := view.Config.Service(name)
+	if service == nil {
+		return dynconfig.DefaultTimeoutMillis * time.Millisecond
+	}
 	longest := 0
-	for _, u := range view.Upstreams {
-		service := view.Config.Service(u.Service)
-		if !affected[u.ID] || service == nil {
-			continue
-		}
-		for _, class := range service.WithDefaults().Classes {
-			longest = max(longest, class.TimeoutMillis)
-		}
+	for _, class := range service.WithDefaults().Classes {
+		longest = max(longest, class.TimeoutMillis)
 	}
 	return time.Duration(longest) * time.Millisecond
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -73,7 +73,7 @@
 			since[key] = start
 			if u.InFlight == 0 || now.Sub(start) > handoverPatience {
 				due = append(due, controlstate.Release{
-					UpstreamID: u.ID, Epoch: u.Epoch, SessionID: h.lease.SessionID(), Remaining: u.InFlight,
+					UpstreamID: u.ID, Epoch: u.Epoch, SessionID: h.lease.SessionID(), Remaining: u.Remaining,
 				})
 			}
 		}
