admission: treat an upstream that returns from a planned stop as cold

A planned stop empties an upstream for maintenance, so it may be cold under its old boot id until its first announcement. The zone experiment saw 3 requests at once at upstreams in cold start that can bear 1. The ramp now starts again when a stop ends, also when the owner changes within 30 s of it. Both test rows fail without the mechanism.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -59,6 +59,19 @@
 		{"a part of it raises the limit by one", false, func(b *bench) { b.work("u", rampCompletions) }, 2},
 		{"new boot id in the view", true, again(func(u *Upstream) { u.BootID = "boot-2" }), 1},
 		{"new boot id in a response", true, func(b *bench) { b.end("u", report(Report{BootID: "boot-2"})) }, 1},
+		{"return from a planned stop", true, func(b *bench) {
+			again(func(u *Upstream) { u.Stopping = true })(b)
+			b.wait(time.Minute)
+			again(func(*Upstream) {})(b)
+			b.end("u", report(Report{BootID: "boot-1", HasCold: true}))
+		}, 1},
+		{"return from a planned stop with a hand-over", true, func(b *bench) {
+			again(func(u *Upstream) { u.Owned, u.Stopping = false, true })(b)
+			again(func(u *Upstream) { u.Owned, u.Epoch = false, 2 })(b)
+			again(func(u *Upstream) { u.Epoch = 3 })(b)
+			b.wait(2 * time.Second)
+			b.answerProbes(Report{BootID: "boot-1", HasLoad: true, HasCold: true})
+		}, 1},
 		{"report of cold in a probe", true, func(b *bench) {
 			b.wait(2 * time.Second)
 			b.answerProbes(Report{BootID: "boot-1", HasCold: true, Cold: true})
--- a/admission/config.go
+++ b/admission/config.go
@@ -54,6 +54,10 @@
 	// coldSlowness is the latency, relative to the usual one of the class, from which a response counts as slow.
 	coldSlowness = 4.0
 
+	// stopMemory is how long after a planned stop an upstream counts as emptied when its owner changes. It covers the
+	// hand-overs that follow the return of a zone.
+	stopMemory = 30 * time.Second
+
 	// ejectFailures is how many failures in a row eject an upstream.
 	ejectFailures = 5
 	// ejectFailRate is the smoothed share of failures that ejects an upstream after ejectMinSamples results.
--- a/admission/setupstreams.go
+++ b/admission/setupstreams.go
@@ -41,6 +41,9 @@
 	} else {
 		s.update(u, info, now)
 	}
+	if info.Stopping {
+		u.stoppedAt = now
+	}
 	u.info = info
 	u.carried = u.carried || info.Assigned || info.Owned
 	if u.slots == 0 || u.slots > info.Slots {
@@ -58,7 +61,9 @@
 		s.restarted(u, info.BootID)
 	}
 	if info.Owned && (info.Epoch != u.info.Epoch || u.probe.at.IsZero()) {
-		s.takeOver(u, info, u.carried, now)
+		s.takeOver(u, info, u.carried && !u.stoppedLately(now), now)
+	} else if u.info.Stopping && !info.Stopping {
+		s.drop(u)
 	}
 }
 
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -46,6 +46,8 @@
 	carried bool
 	// inherited is true where a former owner may have warmed the upstream up, until a report confirms or denies it.
 	inherited bool
+	// stoppedAt is when the upstream was last seen in a planned stop; zero for never.
+	stoppedAt time.Time
 
 	inFlight []running
 	ramp     ramp
@@ -54,6 +56,12 @@
 	probe    prober
 }
 
+// stoppedLately tells whether the upstream was in a planned stop so short a time ago that no owner can have warmed it up
+// since. It was emptied for maintenance and may be cold under its old boot id, whatever it reports.
+func (u *upstream) stoppedLately(now time.Time) bool {
+	return !u.stoppedAt.IsZero() && now.Sub(u.stoppedAt) < stopMemory
+}
+
 // usable tells whether the upstream may get new work at all.
 func (u *upstream) usable() bool {
 	return u.info.Owned && !u.info.Stopping && !u.info.Moving
