peernet: release streams whose end was not read

Cause: a stream counts against the peer's limit of 4096 open streams until its end was read. Handlers and callers read a call or an HTTP message up to its last byte; an end that came in a frame of its own stayed unread, and the stream stayed open. Change: the network drops what is unread when a handler returns and when a call has its response. Users of a stream do the same with CloseRead.

--- a/internal/peernet/client.go
+++ b/internal/peernet/client.go
@@ -44,6 +44,7 @@
 	}
 	s.Close()
 	response, err := readFrame(s)
+	s.CloseRead()
 	if err != nil || len(response) == 0 {
 		s.Abort()
 		return nil, contextError(ctx, errors.Wrapf(err, "call to peer %s", to))
--- a/internal/peernet/handler.go
+++ b/internal/peernet/handler.go
@@ -16,12 +16,15 @@
 	HandleStream(ctx context.Context, from string, s Stream)
 }
 
-// Stream is a byte stream to a peer. Close ends the sending side; CancelRead and Cancel give up.
+// Stream is a byte stream to a peer. Close ends the sending side.
 type Stream interface {
 	io.Reader
 	io.Writer
 	io.Closer
 	SetDeadline(t time.Time) error
+	// CloseRead drops what was not read. A stream counts against the peer's limit until its end was read or CloseRead was
+	// called, so every user of a stream calls it or Abort.
+	CloseRead()
 	// Abort tells the peer that both directions ended before they were complete.
 	Abort()
 }
--- a/internal/peernet/network.go
+++ b/internal/peernet/network.go
@@ -145,6 +145,9 @@
 		s.Abort()
 		return
 	}
+	// The end of the stream may come after the last byte that a handler reads. Unread, it would keep the stream open, and the
+	// peer could open none once maxStreams are.
+	defer s.CloseRead()
 	switch streamKind(kind[0]) {
 	case kindCall:
 		n.serveCall(p, s)
--- a/internal/peernet/network_test.go
+++ b/internal/peernet/network_test.go
@@ -22,6 +22,9 @@
 // testTimeout bounds each exchange; it is far above what loopback needs.
 const testTimeout = 20 * time.Second
 
+// oneByte starts a stream of which the handler reads only the first byte.
+const oneByte = 1
+
 type echoHandler struct {
 	messages chan string
 }
@@ -35,8 +38,17 @@
 	return []byte(from + ":" + string(data)), nil
 }
 
+// HandleStream echoes the stream; one that starts with oneByte is answered at once, without reading its end.
 func (h echoHandler) HandleStream(_ context.Context, _ string, s peernet.Stream) {
-	_, _ = io.Copy(s, s)
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(s, first); err != nil {
+		s.Abort()
+		return
+	}
+	_, _ = s.Write(first)
+	if first[0] != oneByte {
+		_, _ = io.Copy(s, s)
+	}
 	s.Close()
 }
 
@@ -159,3 +171,43 @@
 		})
 	}
 }
+
+// Guards against streams that stay open after their use: the peer could then open no more once it reached the limit.
+func TestNetworkReleasesStreams(t *testing.T) {
+	const moreThanTheLimit = 5000
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a := newAuthority(t)
+	server, _ := listen(t, "vm1", a.tls("vm1"), map[string]string{"vm2": loopback})
+	client, _ := listen(t, "vm2", a.tls("vm2"), map[string]string{"vm1": server.Address()})
+	for _, test := range []struct {
+		description string
+		use         func() error
+	}{
+		{"calls", func() error {
+			_, err := client.Call(ctx, "vm1", []byte("ping"))
+			return err
+		}},
+		{"streams whose end nobody reads", func() error {
+			s, err := client.OpenStream(ctx, "vm1")
+			if err != nil {
+				return err
+			}
+			defer s.CloseRead()
+			defer s.Close()
+			if _, err := s.Write([]byte{oneByte}); err != nil {
+				return err
+			}
+			_, err = io.ReadFull(s, make([]byte, 1))
+			return err
+		}},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			for i := range moreThanTheLimit {
+				if err := test.use(); err != nil {
+					t.Fatalf("stream %d: %v", i, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/peernet/stream.go
+++ b/internal/peernet/stream.go
@@ -9,6 +9,8 @@
 	*quic.Stream
 }
 
+func (s stream) CloseRead() { s.CancelRead(abortCode) }
+
 func (s stream) Abort() {
 	s.CancelWrite(abortCode)
 	s.CancelRead(abortCode)
