daemon: release upstreams with the requests of former owners

Cause: a release reported only the requests of the releasing gateway. While a long download of an earlier owner still ran, the next owner counted its slot as free. Change: the release reports gateway.UpstreamStatus.Remaining, which its comment already names as the count to report. Before: the new row "download of a former owner" saw 0 remaining requests instead of 2. After: all rows pass.

--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// due returns the releases that are due: nothing is in flight, or the patience ran out.
+// due returns the releases that are due: nothing of this gateway is in flight, or the patience ran out. A release reports
+// the requests of former owners too, because the next owner must count them as long as they may run.
 func (h *handover) due(now time.Time) []controlstate.Release {
 	var due []controlstate.Release
 	since := make(map[handoverKey]time.Time)
@@ -73,7 +74,7 @@
 			since[key] = start
 			if u.InFlight == 0 || now.Sub(start) > handoverPatience {
 				due = append(due, controlstate.Release{
-					UpstreamID: u.ID, Epoch: u.Epoch, SessionID: h.lease.SessionID(), Remaining: u.InFlight,
+					UpstreamID: u.ID, Epoch: u.Epoch, SessionID: h.lease.SessionID(), Remaining: u.Remaining,
 				})
 			}
 		}
--- /dev/null
+++ b/internal/daemon/handover_test.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/gateway"
+	"github.com/bramleypick/bramleypick/lease"
+)
+
+// Guards against a release that is late, early, or hides requests of former owners from the next owner, which would then
+// send an upstream more than it can hold.
+func TestHandoverDue(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		upstream    gateway.UpstreamStatus
+		after       time.Duration
+		remaining   int // of the release; -1 where none is due
+	}{
+		{"not moving", gateway.UpstreamStatus{Owned: true}, 2 * handoverPatience, -1},
+		{"not owned any more", gateway.UpstreamStatus{MovingTo: 7}, 2 * handoverPatience, -1},
+		{"idle", gateway.UpstreamStatus{Owned: true, MovingTo: 7}, 0, 0},
+		{"short request in flight", gateway.UpstreamStatus{Owned: true, MovingTo: 7, InFlight: 1, Remaining: 1}, handoverPatience / 2, -1},
+		{"long download in flight", gateway.UpstreamStatus{Owned: true, MovingTo: 7, InFlight: 1, Remaining: 1}, 2 * handoverPatience, 1},
+		{"download of a former owner", gateway.UpstreamStatus{Owned: true, MovingTo: 7, Remaining: 2}, 0, 2},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			test.upstream.ID, test.upstream.Epoch = "lookup-1", 3
+			status := gateway.Status{Services: []gateway.ServiceStatus{{Name: "lookup", Upstreams: []gateway.UpstreamStatus{test.upstream}}}}
+			h := newHandover(nil, &lease.Holder{}, func() gateway.Status { return status }, zap.NewNop())
+			start := time.Now()
+			due := h.due(start)
+			if test.after > 0 {
+				due = h.due(start.Add(test.after))
+			}
+			if test.remaining < 0 {
+				is.Equal(len(due), 0)
+				return
+			}
+			is.Equal(len(due), 1)
+			is.Equal(due[0].Remaining, test.remaining)
+			is.Equal(due[0].Epoch, uint64(3))
+		})
+	}
+}
