daemon: make the graceful stop complete

Cause, found in review: - A session whose departure was not announced (no leader at that moment), or that expired and was opened anew during the stop, was never marked as leaving. Its upstreams never moved, and the stop ran into its timeout. - The stop waited for a moment without any request, which constant load from callers that ignore the time to live of addresses never gives. - The process closed its peer connections without knowing whether peers had the whole of the responses to forwarded requests, and cut operator requests. - After a stop that ran out of time the session was not ended, because the command used the expired context. - A peer that refused a large forwarded request without reading it blocked the sender until its deadline. - limits.max_caller_connections was not used. Change: the stop repeats the announcement until the view shows it, then refuses new requests and waits for those in flight. The sender of a forwarded request ends its side of the stream only with the whole response, and the receiver waits for that, dropping an unread body. The caller listener accepts no more connections than the setting; others wait in the accept queue.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,7 @@
 	callers   *http.Server
 	operators *http.Server
 	leaving   leavingFlag
+	forwarded atomic.Int64 // requests of peers that are being served
 
 	listeners []net.Listener
 	ready     chan struct{} // closed once peers may call
@@ -152,6 +154,7 @@
 		}
 		d.listeners = append(d.listeners, l)
 	}
+	d.listeners[0] = newLimitListener(d.listeners[0], d.settings.Limits.MaxCallerConnections)
 	return nil
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -12,7 +13,12 @@
 	"github.com/bramleypick/bramleypick/internal/peernet"
 )
 
-// forwarder sends requests to peer gateways, one QUIC stream for each, in HTTP/1.1 as net/http writes it.
+// deliveryTimeout is how long the receiver of a forwarded request waits for the sender to take the whole response. It
+// exceeds the peers' idle timeout, after which a silent connection is given up anyway.
+const deliveryTimeout = 5 * time.Second
+
+// forwarder sends requests to peer gateways, one QUIC stream for each, in HTTP/1.1 as net/http writes it. The sender ends its
+// side of the stream only once it has the whole response, so that the receiver knows when it may close the connection.
 type forwarder struct {
 	network *peernet.Network
 	view    func() *controlstate.View
@@ -34,7 +40,6 @@
 		s.Abort()
 		return nil, errors.Wrap(err, "forward a request")
 	}
-	s.Close()
 	response, err := http.ReadResponse(bufio.NewReader(s), r)
 	if err != nil {
 		stop()
@@ -60,22 +65,27 @@
 	return n, err
 }
 
-// Close aborts the stream unless the body was read to its end.
+// Close tells the peer that the response arrived, or aborts the stream if the body was not read to its end.
 func (b *forwardedBody) Close() error {
 	b.stop()
 	if !b.done {
 		b.stream.Abort()
+		return nil
 	}
-	return nil
+	b.stream.CloseRead()
+	return b.stream.Close()
 }
 
 // serveForwarded serves one request that a peer gateway forwarded.
 func serveForwarded(ctx context.Context, s peernet.Stream, handler http.Handler) {
-	request, err := http.ReadRequest(bufio.NewReader(s))
+	_ = s.SetDeadline(time.Now().Add(headerReadTimeout))
+	in := bufio.NewReader(s)
+	request, err := http.ReadRequest(in)
 	if err != nil {
 		s.Abort()
 		return
 	}
+	_ = s.SetDeadline(time.Time{})
 	w := newStreamResponse(s, request)
 	defer func() {
 		// The data path panics with http.ErrAbortHandler where the caller must not take the response for complete.
@@ -84,6 +94,9 @@
 			return
 		}
 		w.finish()
+		// What is left of a request body that nobody read is dropped, because the sender writes all of it before it reads.
+		_ = s.SetDeadline(time.Now().Add(deliveryTimeout))
+		_, _ = io.Copy(io.Discard, in)
 	}()
 	handler.ServeHTTP(w, request.WithContext(ctx))
 }
--- /dev/null
+++ b/internal/daemon/limit_listener.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener bounds the open connections of a listener. Connections beyond the limit wait in the kernel's accept queue
+// until another one closes, so that a peak of callers costs them time rather than a failure.
+type limitListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newLimitListener(l net.Listener, limit int) *limitListener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept waits for a connection and for a slot to hold it in.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, free: func() { <-l.slots }}, nil
+}
+
+// Close closes the listener and ends a waiting Accept.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// limitedConn frees its slot when it is closed.
+type limitedConn struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+// Close closes the connection.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.free)
+	return err
+}
--- a/internal/daemon/peer_handler.go
+++ b/internal/daemon/peer_handler.go
@@ -78,5 +78,7 @@
 }
 
 func (h peerHandler) HandleStream(ctx context.Context, _ string, s peernet.Stream) {
+	h.d.forwarded.Add(1)
+	defer h.d.forwarded.Add(-1)
 	serveForwarded(ctx, s, h.d.gateway)
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleypick/bramleypick/controlstate"
 	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/resultcode"
 )
 
 const (
@@ -20,6 +21,9 @@
 	drainInterval = 20 * time.Millisecond
 	// addressMargin is added to the time to live of address answers, for answers that were on their way.
 	addressMargin = 250 * time.Millisecond
+	// forwardMargin is how long peers may take to learn that this gateway has no free slots: one loadCheckInterval and the
+	// way to them, on a busy machine.
+	forwardMargin = 250 * time.Millisecond
 )
 
 // leavingFlag makes responses close their connections once the process is leaving, so that callers move to other addresses
@@ -47,14 +51,16 @@
 	d.leave(ctx)
 	d.waitFor(ctx, d.longestAddressTTL()+addressMargin)
 	d.leaving.leaving.Store(true)
-	err := d.drain(ctx)
-	if shutdownErr := d.gateway.Shutdown(ctx); err == nil {
-		err = shutdownErr
-	}
-	if shutdownErr := d.callers.Shutdown(ctx); err == nil {
-		err = shutdownErr
+	var err error
+	for _, step := range []func(context.Context) error{
+		d.drain, d.gateway.Shutdown, d.awaitForwarded, d.callers.Shutdown, d.operators.Shutdown,
+	} {
+		if stepErr := step(ctx); err == nil {
+			err = stepErr
+		}
 	}
-	d.endSession(ctx)
+	// The session is ended even if the time is up, because the others would otherwise wait for its lease to run out.
+	d.endSession(context.WithoutCancel(ctx))
 	d.log.Info("stopped", zap.Error(err))
 	return errors.Wrap(err, "graceful stop")
 }
@@ -63,12 +69,12 @@
 func (d *Daemon) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	_, err := d.client.Submit(ctx, controlstate.Command{
+	result, err := d.client.Submit(ctx, controlstate.Command{
 		Kind:         controlstate.KindLeaveSession,
 		LeaveSession: &controlstate.LeaveSession{SessionID: d.session.Lease().SessionID()},
 	})
-	if err != nil {
-		d.log.Warn("departure not announced to the control group", zap.Error(err))
+	if err != nil || result.Code != resultcode.OK {
+		d.log.Warn("departure not announced to the control group", zap.Error(err), zap.Stringer("code", result.Code))
 	}
 }
 
@@ -88,29 +94,52 @@
 	}
 }
 
-// drain waits until this gateway owns nothing that another could own, and serves nobody.
+// drain waits until this gateway owns nothing that another could own. Requests may still be in flight afterwards, and new
+// ones may arrive from callers with an old address: Gateway.Shutdown refuses these and waits for the others.
 func (d *Daemon) drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
 	for !d.drained() {
-		select {
-		case <-ctx.Done():
+		if !d.departed() {
+			d.leave(ctx)
+			d.waitFor(ctx, d.longestAddressTTL()+addressMargin)
+		}
+		if !d.waitFor(ctx, drainInterval) {
 			return ctx.Err()
-		case <-ticker.C:
 		}
 	}
+	// Peers that know of free slots here still forward requests until they learn that there are none.
+	d.waitFor(ctx, forwardMargin)
 	return nil
 }
 
-func (d *Daemon) drained() bool {
-	status := d.gateway.Status()
-	if status.Requests > 0 {
-		return false
+// departed tells whether the session is leaving in the view in force. It is not if the announcement failed, or if the session
+// was lost since and a new one was opened.
+func (d *Daemon) departed() bool {
+	view := d.session.View()
+	if view == nil {
+		return true
+	}
+	info := view.Session(d.session.Lease().SessionID())
+	return info == nil || info.Leaving
+}
+
+// awaitForwarded waits until peers have the whole responses to the requests that they forwarded.
+func (d *Daemon) awaitForwarded(ctx context.Context) error {
+	for d.forwarded.Load() > 0 {
+		if !d.waitFor(ctx, drainInterval) {
+			return ctx.Err()
+		}
 	}
+	return nil
+}
+
+func (d *Daemon) drained() bool {
 	view := d.session.View()
 	if view == nil || !d.session.Lease().Valid(time.Now()) {
 		return true
 	}
+	if !d.departed() {
+		return false
+	}
 	for _, u := range view.Upstreams {
 		if u.Owner == d.session.Lease().SessionID() && othersServe(view, u.Service, u.Owner) {
 			return false
@@ -139,11 +168,14 @@
 	return time.Duration(longest) * time.Millisecond
 }
 
-func (d *Daemon) waitFor(ctx context.Context, duration time.Duration) {
+// waitFor returns false if ctx ended first.
+func (d *Daemon) waitFor(ctx context.Context, duration time.Duration) bool {
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return true
 	}
 }
