--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// due returns the releases that are due: nothing is in flight, or the patience ran out.
+// due returns the releases that are due: nothing of this gateway is in flight, or the patience ran out. A release reports
+// the requests of former owners too, because the next owner must count them as long as they may run.
 func (h *handover) due(now time.Time) []controlstate.Release {
 	var due []controlstate.Release
 	since := make(map[handoverKey]time.Time)
