gateway: let claimed requests run to their end when the caller goes away

A caller whose connection broke cancelled its callout, and its resend then got claim_outcome_unknown, which somebody must resolve by hand. The exchange now goes on until the deadline and its response is recorded, so that the resend gets it. The test that expected an unknown outcome expects the recorded response instead, and one execution.

--- a/internal/gateway/atmostonce_test.go
+++ b/internal/gateway/atmostonce_test.go
@@ -117,8 +117,8 @@
 	})
 }
 
-// Guards against a caller seeing a response that is not recorded yet, and against a caller that went away leaving a claim
-// that runs for ever.
+// Guards against a caller seeing a response that is not recorded yet, and against a caller that went away making the outcome
+// of its request unknown, though the upstream could have ended it.
 func TestClaimEndsBeforeTheCallerSeesIt(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.is.Equal(w.callout("k").body, "fine")
@@ -133,7 +133,8 @@
 		cancel()
 		wait()
 		w.is.Equal(len(w.claims.finished), 2)
-		w.is.Equal(w.claims.finished[1].Answer, nil)
-		w.is.Equal(w.callout("gone").code, resultcode.ClaimOutcomeUnknown)
+		w.is.Equal(string(w.claims.finished[1].Answer.Body), "fine")
+		w.is.Equal(w.callout("gone").body, "fine")
+		w.is.Equal(w.started(), 2) // The resend got the recorded response.
 	})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -126,6 +126,13 @@
 	return false
 }
 
+// detach lets the exchange go on until the deadline when the caller goes away. A claimed request whose caller lost its
+// connection runs to its end, so that the caller's resend gets the recorded response and not an unknown outcome.
+func (a *attempt) detach() {
+	a.cancel()
+	a.ctx, a.cancel = context.WithDeadline(context.WithoutCancel(a.c.ctx), a.c.deadline)
+}
+
 func (a *attempt) elsewhere() {
 	a.err = resultcode.Errorf(resultcode.NoUpstream, "the upstream takes no new work from this gateway")
 	a.again = true
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -43,6 +43,7 @@
 		g.release(c, a)
 		return
 	}
+	a.detach()
 	a.exchange(conn)
 	switch {
 	case a.err == nil:
