controlstate: keep claims at least for the service's shortest horizon

A gateway that states a shorter horizon than any class has would have its claim dropped while another gateway still accepts the key, so the request could run twice.

--- a/controlstate/claims_test.go
+++ b/controlstate/claims_test.go
@@ -191,6 +191,18 @@
 	r.is.Equal(r.do(late).Code, resultcode.ClaimOutcomeUnknown)
 }
 
+// Guards against a gateway that states a shorter horizon than the service has: its claim would be dropped while another
+// gateway still accepts the key. Seeds 891 and 951 of the random sequences found it.
+func TestHorizonOfTheServiceHolds(t *testing.T) {
+	r, u := ready(t, controlstate.Options{})
+	c := beginClaim(r, u, "key", "a")
+	c.HorizonMillis = 1
+	r.ok(controlstate.FinishClaim{Key: c.Key, ClaimID: r.ok(c).ClaimID})
+	r.now += hour
+	c.HorizonMillis, c.Attempt = hour, "b"
+	r.is.Equal(r.do(c).Code, resultcode.ClaimOutcomeUnknown)
+}
+
 // Guards against recorded answers that fill the memory.
 func TestRecordedAnswersAreBounded(t *testing.T) {
 	r, u := ready(t, controlstate.Options{MaxAnswerBytes: 1000})
--- a/controlstate/harness_test.go
+++ b/controlstate/harness_test.go
@@ -102,10 +102,12 @@
 	return data
 }
 
-// testConfig has three zones and the services dispatch and lookup, with a limit of 20 upstreams each.
+// testConfig has three zones and the services dispatch and lookup, with a limit of 20 upstreams and a
+// key horizon of one hour each.
 func testConfig(stops ...dynconfig.Stop) dynconfig.Config {
 	service := func(name string) dynconfig.Service {
-		return dynconfig.Service{Name: name, MaxUpstreams: 20, Classes: []dynconfig.Class{{Name: "all", PathPrefix: "/" + name}}}
+		class := dynconfig.Class{Name: "all", PathPrefix: "/" + name, KeyHorizonMillis: hour}
+		return dynconfig.Service{Name: name, MaxUpstreams: 20, Classes: []dynconfig.Class{class}}
 	}
 	return dynconfig.Config{
 		Zones:    []dynconfig.Zone{{Name: "a"}, {Name: "b"}, {Name: "c"}},
--- a/controlstate/horizons.go
+++ b/controlstate/horizons.go
@@ -95,12 +95,23 @@
 	return h != nil && c.KeyUnixMilli != 0 && c.KeyUnixMilli <= h.KeyFloorUnixMilli
 }
 
-// horizonOf returns how long a claim that begins now is kept after its base time.
+// horizonOf returns how long a claim that begins now is kept after its base time: not less than the shortest horizon of the
+// service, whatever the gateway states, because lengthenHorizon relies on it.
 func (s *state) horizonOf(c *BeginClaim) int64 {
+	horizon := max(c.HorizonMillis, shortestHorizon(s.services[c.Key.Service]))
 	if h := s.horizons[c.Key.Service]; h != nil && s.now <= h.UntilUnixMilli {
-		return max(c.HorizonMillis, h.HorizonMillis)
+		horizon = max(horizon, h.HorizonMillis)
 	}
-	return c.HorizonMillis
+	return horizon
+}
+
+// shortestHorizon returns the shortest horizon of the service's classes that use claims, or 0 without one.
+func shortestHorizon(service *dynconfig.Service) int64 {
+	routes := claimRoutes(service)
+	if len(routes) == 0 {
+		return 0
+	}
+	return slices.MinFunc(routes, byHorizon).horizon
 }
 
 func (s *state) sortedHorizons() []*horizonChange {
