--- a/internal/peernet/client.go
+++ b/internal/peernet/client.go
@@ -38,12 +38,12 @@
 	}
 	stop := context.AfterFunc(ctx, s.Abort)
 	defer stop()
-	if err := writeFrame(s, data); err != nil {
+	if err := writeFrame(s, data, maxCallBytes); err != nil {
 		s.Abort()
 		return nil, contextError(ctx, err)
 	}
 	s.Close()
-	response, err := readFrame(s)
+	response, err := readFrame(s, maxCallBytes)
 	s.CloseRead()
 	if err != nil || len(response) == 0 {
 		s.Abort()
--- a/internal/peernet/config.go
+++ b/internal/peernet/config.go
@@ -17,8 +17,13 @@
 	dialTimeout      = time.Second
 	// messageQueueLength bounds the messages that wait for one peer; more are dropped, as the replicated log tolerates.
 	messageQueueLength = 1024
-	// maxMessageBytes bounds one message, call or response.
-	maxMessageBytes = 16 << 20
+	// maxCallBytes bounds one call or response. The largest is a view, at about 100 B for each upstream.
+	maxCallBytes = 16 << 20
+	// maxMessageBytes bounds one message. The largest is a snapshot, at about 360 B for each claim.
+	maxMessageBytes = 512 << 20
+	// largeMessageBytes is the size from which a message has a stream of its own, so that a snapshot on its way does not hold up
+	// the heartbeats behind it.
+	largeMessageBytes = 256 << 10
 	// maxStreams bounds the streams a peer may have open at once.
 	maxStreams = 4096
 	// nextProtocol is the ALPN name; it changes with every incompatible change of the framing.
--- a/internal/peernet/frame.go
+++ b/internal/peernet/frame.go
@@ -24,27 +24,41 @@
 // ErrTooLarge is returned for a message or a call beyond the size limit.
 var ErrTooLarge = errors.New("peernet: message exceeds the size limit")
 
-func writeFrame(w io.Writer, data []byte) error {
-	if len(data) > maxMessageBytes {
+func writeFrame(w io.Writer, data []byte, limit int) error {
+	if len(data) > limit {
 		return ErrTooLarge
 	}
-	frame := make([]byte, 4+len(data))
-	binary.BigEndian.PutUint32(frame, uint32(len(data)))
-	copy(frame[4:], data)
-	_, err := w.Write(frame)
+	var header [4]byte
+	binary.BigEndian.PutUint32(header[:], uint32(len(data)))
+	if len(data) > largeMessageBytes {
+		if _, err := w.Write(header[:]); err != nil {
+			return err
+		}
+		_, err := w.Write(data)
+		return err
+	}
+	_, err := w.Write(append(header[:], data...))
 	return err
 }
 
-func readFrame(r io.Reader) ([]byte, error) {
+// readFrame grows its buffer as data arrives, so that a header alone cannot make it allocate much.
+func readFrame(r io.Reader, limit int) ([]byte, error) {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
-	size := binary.BigEndian.Uint32(header[:])
-	if size > maxMessageBytes {
+	size := int64(binary.BigEndian.Uint32(header[:]))
+	if size > int64(limit) {
 		return nil, ErrTooLarge
 	}
-	data := make([]byte, size)
-	_, err := io.ReadFull(r, data)
+	if size <= largeMessageBytes {
+		data := make([]byte, size)
+		_, err := io.ReadFull(r, data)
+		return data, err
+	}
+	data, err := io.ReadAll(io.LimitReader(r, size))
+	if err == nil && int64(len(data)) < size {
+		err = io.ErrUnexpectedEOF
+	}
 	return data, err
 }
--- a/internal/peernet/network.go
+++ b/internal/peernet/network.go
@@ -130,7 +130,7 @@
 		return
 	}
 	for {
-		data, err := readFrame(s)
+		data, err := readFrame(s, maxMessageBytes)
 		if err != nil {
 			s.CancelRead(abortCode)
 			return
@@ -159,7 +159,7 @@
 }
 
 func (n *Network) serveCall(p *peer, s stream) {
-	data, err := readFrame(s)
+	data, err := readFrame(s, maxCallBytes)
 	if err != nil {
 		s.Abort()
 		return
@@ -171,7 +171,7 @@
 	} else {
 		response = append([]byte{callOK}, response...)
 	}
-	if err := writeFrame(s, response); err != nil {
+	if err := writeFrame(s, response, maxCallBytes); err != nil {
 		s.Abort()
 		return
 	}
--- a/internal/peernet/network_test.go
+++ b/internal/peernet/network_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,12 @@
 	is.Equal(<-messages, "vm2:one")
 	is.Equal(<-messages, "vm2:two")
 
+	large := strings.Repeat("snapshot", 3<<20) // more than a call may have
+	client.Send("vm1", []byte(large))
+	client.Send("vm1", []byte("heartbeat"))
+	arrived := map[string]bool{<-messages: true, <-messages: true} // in either order
+	is.True(arrived["vm2:"+large] && arrived["vm2:heartbeat"])
+
 	s, err := client.OpenStream(ctx, "vm1")
 	is.NoErr(err)
 	_, err = s.Write([]byte("body"))
--- a/internal/peernet/peer.go
+++ b/internal/peernet/peer.go
@@ -94,10 +94,14 @@
 		case <-p.net.ctx.Done():
 			return
 		case data := <-p.messages:
+			if len(data) > largeMessageBytes {
+				p.net.wg.Go(func() { p.sendLarge(data) })
+				continue
+			}
 			if out == nil || out.Context().Err() != nil {
 				out = p.openMessages()
 			}
-			if out != nil && writeFrame(out, data) != nil {
+			if out != nil && writeFrame(out, data, maxMessageBytes) != nil {
 				out.CancelWrite(abortCode)
 				out = nil
 			}
@@ -105,6 +109,19 @@
 	}
 }
 
+// sendLarge sends one message on a stream of its own.
+func (p *peer) sendLarge(data []byte) {
+	out := p.openMessages()
+	if out == nil {
+		return
+	}
+	if writeFrame(out, data, maxMessageBytes) != nil {
+		out.CancelWrite(abortCode)
+		return
+	}
+	out.Close()
+}
+
 func (p *peer) openMessages() *quic.SendStream {
 	conn, err := p.connect(p.net.ctx)
 	if err != nil {
