--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -28,7 +28,7 @@
 
 // ApplyConfig puts a whole configuration in force.
 func (o operators) ApplyConfig(ctx context.Context, change api.ConfigChange) (api.Accepted, error) {
-	config, err := dynconfig.Decode(change.Config)
+	config, err := dynconfig.Parse(change.Config)
 	if err != nil {
 		return api.Accepted{}, resultcode.Errorf(resultcode.InvalidConfiguration, "%v", err)
 	}
