daemon: log crash reports that were not committed

Cause: a lost or refused report delays the block of a request that crashes upstreams, and nothing showed it. Change: the reporter logs the code or the error.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 		Lease:     d.session.Lease(),
 		NewPool:   gateway.NewUpstreamPool,
 		Forwarder: forwarder{network: d.network, view: d.session.View},
-		Crashes:   crashReporter{client: d.client},
+		Crashes:   crashReporter{client: d.client, log: d.log.Named("crashes")},
 		Metrics:   d.registry,
 		Log:       d.log.Named("gateway"),
 	})
