--- /dev/null
+++ b/test/process/caller_test.go
@@ -0,0 +1,98 @@
+package process_test
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// reply is what a caller got. err is set if no complete response arrived.
+type reply struct {
+	status   int
+	code     resultcode.Code
+	replayed bool
+	body     string
+	err      error
+}
+
+func (r reply) String() string {
+	if r.err != nil {
+		return "no response: " + r.err.Error()
+	}
+	return fmt.Sprintf("status %d, code %v, replayed %v: %s", r.status, r.code, r.replayed, strings.TrimSpace(r.body))
+}
+
+// request is one request of a caller. The key and its time are sent unless the key is empty.
+type request struct {
+	method, path, key string
+	born              time.Time
+}
+
+func get(path string) request { return request{method: http.MethodGet, path: path} }
+
+// post returns a request of a class that is not idempotent, with a new key.
+func post(path string) request {
+	return request{method: http.MethodPost, path: path, key: rand.Text(), born: time.Now()}
+}
+
+// callerClient opens a connection for each request, because net/http resends requests by itself on connections it reuses.
+var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// send sends a request to the caller address of a VM.
+func (d *deployment) send(vm int, r request) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+d.address(vm, 0)+r.path, nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	if r.key != "" {
+		out.Header.Set("Idempotency-Key", r.key)
+		out.Header.Set("Bramleypick-Key-Time", strconv.FormatInt(r.born.UnixMilli(), 10))
+	}
+	response, err := callerClient.Do(out)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	code, _ := strconv.ParseUint(response.Header.Get("Bramleypick-Code"), 10, 16)
+	return reply{
+		status: response.StatusCode, code: resultcode.Code(code), body: string(body), err: err,
+		replayed: response.Header.Get("Bramleypick-Replayed") != "",
+	}
+}
+
+// notRun tells whether the system promised that the request did not start.
+func (r reply) notRun() bool {
+	info, _ := r.code.Info()
+	return r.err == nil && r.code != resultcode.OK && info.NotRun
+}
+
+// served tells whether the reply is the whole response of an upstream to this request.
+func (r reply) served(to request) bool {
+	return r.err == nil && r.status == http.StatusOK && strings.HasPrefix(r.body, fmt.Sprintf("%s %s %s\n", to.method, to.path, to.key))
+}
+
+// waitServed sends a request of an idempotent class until it is served.
+func (d *deployment) waitServed(vm int, path string) {
+	d.t.Helper()
+	var last reply
+	r := get(path)
+	defer func() {
+		if d.t.Failed() {
+			d.t.Logf("last reply to %s at %s: %v", path, d.vms[vm].name, last)
+		}
+	}()
+	d.wait(fmt.Sprintf("%s is served at %s", path, d.vms[vm].name), func() bool {
+		last = d.send(vm, r)
+		return last.served(r)
+	})
+}
--- /dev/null
+++ b/test/process/durability_test.go
@@ -0,0 +1,125 @@
+package process_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/opclient"
+)
+
+// checkDurability makes changes while the leader is killed again and again. Then the leader loses its disk, and the next
+// leader is killed before the group has recovered.
+func checkDurability(d *deployment) {
+	const changes, killEvery = 16, 4
+	config := baseConfig()
+	last := uint64(1)
+	for i := range changes {
+		if i%killEvery == killEvery-1 {
+			leader := d.vms[d.leader()]
+			leader.kill()
+			defer func() { d.t.Logf("killed leader %s before change %d", leader.name, i) }()
+			config = d.change(config, i, &last)
+			leader.start()
+			continue
+		}
+		config = d.change(config, i, &last)
+	}
+	d.waitSessions(len(d.vms))
+	d.checkConfig(config, last)
+
+	lost := d.leader()
+	d.vms[lost].kill()
+	d.must(os.RemoveAll(filepath.Join(d.dir, "data", d.vms[lost].name)))
+	second := d.leader()
+	third := controlReplicas - lost - second
+	d.vms[lost].start()
+	d.vms[second].kill()
+	config = d.tryChange(config, changes, &last)
+	// Alone, the replica without its disk must know of no group.
+	d.vms[third].kill()
+	d.checkNoLeader(lost)
+	d.vms[third].start()
+	d.vms[second].start()
+	d.waitSessions(len(d.vms))
+	d.checkConfig(config, last)
+
+	// The replica must hold everything again: with it and one other, changes go on.
+	d.vms[third].kill()
+	config = d.change(config, changes+1, &last)
+	d.vms[third].start()
+	d.waitSessions(len(d.vms))
+	d.checkConfig(config, last)
+}
+
+// leader returns the VM that leads the control group.
+func (d *deployment) leader() int {
+	d.t.Helper()
+	return d.vm(d.waitStatus("a leader reports", func(controlproto.Report) bool { return true }).Leader)
+}
+
+// change adds a tenant, which must make the next version.
+func (d *deployment) change(config dynconfig.Config, i int, last *uint64) dynconfig.Config {
+	d.t.Helper()
+	config.Tenants = append(config.Tenants, dynconfig.Tenant{Name: fmt.Sprintf("tenant-%02d", i)})
+	version := d.apply(config, fmt.Sprintf("change-%d", i))
+	if version != *last+1 {
+		d.t.Errorf("change %d was accepted as version %d after version %d", i, version, *last)
+	}
+	*last = version
+	return config
+}
+
+// tryChange makes a change if the group has a leader now, which depends on how far the replica without its disk has come.
+func (d *deployment) tryChange(config dynconfig.Config, i int, last *uint64) dynconfig.Config {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	report, err := d.operator.Status(ctx)
+	if err != nil {
+		d.t.Log("no majority after the second kill")
+		return config
+	}
+	if report.ConfigVersion != *last {
+		d.t.Fatalf("version %d after the second kill, want %d", report.ConfigVersion, *last)
+	}
+	return d.change(config, i, last)
+}
+
+// checkNoLeader watches a VM for several election timeouts. It is alone, so it must not report as a leader.
+func (d *deployment) checkNoLeader(vm int) {
+	d.t.Helper()
+	alone := opclient.New([]string{d.address(vm, operatorPort)}, d.token)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		if report, err := alone.Status(ctx); err == nil {
+			d.t.Fatalf("%s has no disk content and no peers, and reports as leader: %+v", d.vms[vm].name, report)
+		}
+	}
+}
+
+// checkConfig compares the configuration at every VM with the accepted one.
+func (d *deployment) checkConfig(config dynconfig.Config, version uint64) {
+	d.t.Helper()
+	data, err := dynconfig.Canonical(config)
+	d.must(err)
+	want := dynconfig.Digest(data)
+	d.waitStatus("the last version is in force", func(r controlproto.Report) bool {
+		if r.ConfigVersion != version || r.ConfigDigest != want {
+			d.t.Fatalf("version %d with digest %s, want %d with %s", r.ConfigVersion, r.ConfigDigest, version, want)
+		}
+		return r.InForce == version
+	})
+	for i, address := range d.addresses(operatorPort) {
+		current, err := opclient.New([]string{address}, d.token).Config(context.Background())
+		d.must(err)
+		if current.ConfigVersion != version || current.ConfigDigest != want {
+			d.t.Errorf("%s has version %d with digest %s, want %d with %s", d.vms[i].name, current.ConfigVersion, current.ConfigDigest, version, want)
+		}
+	}
+}
--- /dev/null
+++ b/test/process/evacuation_test.go
@@ -0,0 +1,111 @@
+package process_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+)
+
+// checkFrozenGateway freezes a gateway that owns upstreams of its zone while it has requests, stops that zone, and resumes
+// the gateway after its lease ended. Requests that callers sent to its address meanwhile wait in its sockets.
+func checkFrozenGateway(d *deployment) {
+	const frozen = 4 // without a control replica; in the stopped zone
+	zone := zones[frozen%len(zones)]
+	for _, z := range zones {
+		d.upstreams("lookup", z, 2, 3, "--service-ms", "100")
+		d.upstreams("intake", z, 2, 3, "--service-ms", "100")
+	}
+	owns := 0
+	for _, u := range d.waitOwned().Upstreams {
+		if u.Owner == d.vms[frozen].name && u.Zone == zone {
+			owns++
+		}
+	}
+	if owns == 0 {
+		d.t.Fatalf("%s owns no upstream of %s, so the case would show nothing", d.vms[frozen].name, zone)
+	}
+	d.waitServed(frozen, "/lookup/before")
+
+	// Some of these run when the gateway freezes, the others wait in its sockets or its queue.
+	idle := d.executedIn(zone)
+	before := d.burst(frozen)
+	d.wait("upstreams of "+zone+" execute requests of the burst", func() bool { return d.executedIn(zone) > idle })
+	d.vms[frozen].signal(syscall.SIGSTOP)
+	during := d.burst(frozen)
+	_, err := d.operator.Stop(context.Background(), api.StopChange{ChangeID: "stop", Stop: dynconfig.Stop{Zone: zone}})
+	d.must(err)
+	d.waitStatus(zone+" is stopped", func(r controlproto.Report) bool { return len(r.Stops) == 1 && r.Stops[0].Stopped })
+	executedBefore := d.executedIn(zone)
+
+	d.vms[frozen].signal(syscall.SIGCONT)
+	d.checkTruthful("sent before the freeze", before())
+	d.checkTruthful("sent during the freeze", during())
+	d.waitSessions(len(d.vms))
+	d.waitServed(frozen, "/lookup/after")
+	d.checkTruthful("sent to the old address afterwards", d.burst(frozen)())
+	if after := d.executedIn(zone); after != executedBefore {
+		d.t.Errorf("the upstreams of %s executed %d requests, and %d when the zone was reported as stopped", zone, after, executedBefore)
+	}
+}
+
+// executedIn returns how many requests the upstreams of a zone have executed.
+func (d *deployment) executedIn(zone string) int {
+	d.t.Helper()
+	n := 0
+	for _, f := range d.fleets {
+		if f.zone == zone {
+			for _, u := range f.report(false).Upstreams {
+				n += u.Work.Executed
+			}
+		}
+	}
+	return n
+}
+
+// burst sends requests to one VM at once. The result waits for the replies.
+func (d *deployment) burst(vm int) func() map[request]reply {
+	const burstSize = 40
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	replies := make(map[request]reply)
+	for i := range burstSize {
+		r := post("/intake/burst")
+		if i%2 == 0 {
+			r = get("/lookup/burst/" + r.key)
+		}
+		all.Go(func() {
+			got := d.send(vm, r)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[r] = got
+		})
+	}
+	return func() map[request]reply {
+		all.Wait()
+		return replies
+	}
+}
+
+// checkTruthful compares replies with what the upstreams executed. No reply may be missing, because no process was killed.
+func (d *deployment) checkTruthful(which string, replies map[request]reply) {
+	d.t.Helper()
+	codes := make(map[string]int)
+	for to, r := range replies {
+		codes[r.code.String()]++
+		executed := 1
+		if to.key != "" {
+			executed = d.executed(to.key)
+		}
+		switch {
+		case r.err != nil, r.code == 0 && !r.served(to):
+			d.t.Errorf("%s: %s %s: %v", which, to.method, to.path, r)
+		case r.code == 0 && executed != 1, r.notRun() && to.key != "" && executed != 0, executed > 1:
+			d.t.Errorf("%s: %s %s was executed %d times, the reply was %v", which, to.method, to.path, executed, r)
+		}
+	}
+	d.t.Logf("%s: replies by code %v", which, codes)
+}
--- /dev/null
+++ b/test/process/refusals_test.go
@@ -0,0 +1,146 @@
+package process_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/keys"
+	"github.com/bramleypick/bramleypick/internal/opclient"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// checkRefusals makes every attempt that must be refused, and compares the state of the control group before and after.
+func checkRefusals(d *deployment) {
+	d.upstreams("lookup", zones[0], 2, 3)
+	before := d.waitOwned()
+	victim := d.fleets[0].report(false).Upstreams[0]
+	announce := api.Announcement{Service: "lookup", Address: victim.Address, Zone: zones[0], Slots: 3, BootID: "other", MaxConnections: 300}
+	other := announce
+	other.Address = "127.0.0.1:9"
+	known, err := keys.LoadAuthority(filepath.Join(d.dir, "keys", "ca.crt"), filepath.Join(d.dir, "keys", "ca.key"))
+	d.must(err)
+	foreign, err := keys.NewAuthority(time.Now(), time.Hour)
+	d.must(err)
+	intruder := opclient.New(d.addresses(operatorPort), "wrong")
+	for _, c := range []struct {
+		description string
+		want        resultcode.Code // 0 where there is no answer at all
+		attempt     func() resultcode.Code
+	}{
+		{"peer with a certificate of another CA, under a known name", 0, func() resultcode.Code { return d.callAsPeer(foreign, "vm02") }},
+		{"peer with a certificate of the CA, under an unknown name", 0, func() resultcode.Code { return d.callAsPeer(known, "vm09") }},
+		{"id of another upstream, new address", resultcode.UpstreamAddressInUse, func() resultcode.Code { return d.announce(victim.ID, "127.0.0.1", other) }},
+		{"address of another upstream, new id", resultcode.UpstreamAddressInUse, func() resultcode.Code { return d.announce("intruder", "127.0.0.1", announce) }},
+		{"announcement from another IP address", resultcode.UpstreamSourceAddress, func() resultcode.Code { return d.announce(victim.ID, "127.0.0.2", announce) }},
+		{"configuration with a wrong token", resultcode.Unauthorized, func() resultcode.Code {
+			_, err := intruder.Apply(context.Background(), api.ConfigChange{ChangeID: "intruder", Config: json.RawMessage(`{"zones":[{"name":"other"}],"services":[]}`)})
+			return codeOf(err)
+		}},
+		{"stop with a wrong token", resultcode.Unauthorized, func() resultcode.Code {
+			_, err := intruder.Stop(context.Background(), api.StopChange{Stop: dynconfig.Stop{Zone: zones[0]}})
+			return codeOf(err)
+		}},
+		{"status with a wrong token", resultcode.Unauthorized, func() resultcode.Code {
+			_, err := intruder.Status(context.Background())
+			return codeOf(err)
+		}},
+	} {
+		if got := c.attempt(); got != c.want {
+			d.t.Errorf("%s: code %v, want %v", c.description, got, c.want)
+		}
+	}
+	after := d.waitOwned()
+	for _, r := range []*controlproto.Report{&before, &after} {
+		r.CommitIndex, r.Gateways = 0, nil // change all the time
+	}
+	if !reflect.DeepEqual(before, after) {
+		d.t.Errorf("state before: %+v\nstate after: %+v", before, after)
+	}
+}
+
+func codeOf(err error) resultcode.Code {
+	if refusal, ok := err.(*api.Refusal); ok {
+		return refusal.Code
+	}
+	return 0
+}
+
+// callAsPeer submits a command under the name of a VM, and returns its code, or 0 if the VM did not accept the connection.
+func (d *deployment) callAsPeer(ca *keys.Authority, name string) resultcode.Code {
+	d.t.Helper()
+	n, err := peernet.Listen(peernet.Config{
+		Name: name, Address: "127.0.0.1:0", TLS: d.certificate(ca, name), Log: zap.NewNop(),
+		Peers: map[string]string{"vm01": d.address(0, 2)},
+	}, nobody{})
+	d.must(err)
+	defer n.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	data, err := controlproto.Encode(&controlproto.Request{Submit: &controlproto.Submit{Command: controlstate.Command{
+		Kind: controlstate.KindEditStop, EditStop: &controlstate.EditStop{ChangeID: "peer", Stop: dynconfig.Stop{Zone: zones[0]}},
+	}}})
+	d.must(err)
+	if response, err := n.Call(ctx, "vm01", data); err == nil {
+		d.t.Errorf("vm01 answered a call of %s: %x", name, response)
+		return resultcode.OutcomeUnknown
+	}
+	return 0
+}
+
+// certificate issues a certificate for name. The CA of the deployment is trusted, so that only the VM refuses the connection.
+func (d *deployment) certificate(ca *keys.Authority, name string) *tls.Config {
+	d.t.Helper()
+	pair, err := ca.Issue(name, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+	d.must(err)
+	dir := d.t.TempDir()
+	cert, key := filepath.Join(dir, "peer.crt"), filepath.Join(dir, "peer.key")
+	d.must(pair.Save(cert, key))
+	loaded, err := tls.LoadX509KeyPair(cert, key)
+	d.must(err)
+	config, err := keys.Load(filepath.Join(d.dir, "keys", "ca.crt"), filepath.Join(d.dir, "keys", "vm02.crt"), filepath.Join(d.dir, "keys", "vm02.key"), nil)
+	d.must(err)
+	config.Certificates = []tls.Certificate{loaded}
+	return config
+}
+
+// nobody serves no peers.
+type nobody struct{}
+
+func (nobody) HandleMessage(string, []byte) {}
+
+func (nobody) HandleCall(context.Context, string, []byte) ([]byte, error) { return nil, nil }
+
+func (nobody) HandleStream(_ context.Context, _ string, s peernet.Stream) { s.Abort() }
+
+// announce sends an announcement from an IP address and returns the code of its refusal.
+func (d *deployment) announce(id, from string, a api.Announcement) resultcode.Code {
+	d.t.Helper()
+	data, err := json.Marshal(a)
+	d.must(err)
+	r, err := http.NewRequest(http.MethodPut, "http://"+d.address(0, 0)+api.SystemPrefix+"v1/upstreams/"+id, bytes.NewReader(data))
+	d.must(err)
+	r.Header.Set("Content-Type", "application/json")
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	d.must(err)
+	defer response.Body.Close()
+	var refusal api.Refusal
+	d.must(json.NewDecoder(response.Body).Decode(&refusal))
+	return refusal.Code
+}
--- /dev/null
+++ b/test/process/stop_test.go
@@ -0,0 +1,94 @@
+package process_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/bramleypick/bramleypick/internal/loadgen"
+	"github.com/bramleypick/bramleypick/internal/verify"
+)
+
+// maxRefusedPercent bounds the requests that are refused as not run. A request is forwarded only once, so one that meets a VM
+// just when it hands its upstreams over is refused.
+const maxRefusedPercent = 1
+
+// checkGracefulStop stops and restarts each VM in turn while callers send short requests, claimed requests and downloads.
+// Nothing is resent, so that no second try hides a request that was cut or lost.
+func checkGracefulStop(d *deployment) {
+	for _, z := range zones {
+		d.upstreams("lookup", z, 2, 3, "--service-ms", "4")
+		d.upstreams("intake", z, 2, 3, "--service-ms", "20")
+		// 200 kB at 100 kB/s: a download outlasts the hand-over of its upstream.
+		d.upstreams("sheets", z, 2, 3, "--response-bytes", "200000", "--stream-bytes-per-s", "100000")
+	}
+	d.waitOwned()
+	stopped := make(chan struct{})
+	var loads sync.WaitGroup
+	results := make([][]loadgen.Result, 2)
+	for i := range results {
+		loads.Go(func() { results[i] = d.loadUntil(stopped, uint64(i)) })
+	}
+	d.restartEach()
+	close(stopped)
+	loads.Wait()
+	var all loadgen.Result
+	all.Keys = map[string]loadgen.Outcome{}
+	for _, r := range append(results[0], results[1]...) {
+		all.Classes = append(all.Classes, r.Classes...)
+		for key, outcome := range r.Keys {
+			all.Keys[key] = outcome
+		}
+	}
+	v := verify.Compare(all, d.executions())
+	d.t.Logf("%d VMs stopped: %+v", len(d.vms), v)
+	if !v.OK() || v.Uncertain > 0 || v.NotRun*100 > v.Sent*maxRefusedPercent || v.Keys == 0 {
+		for _, c := range all.Classes {
+			d.t.Logf("%s: outcomes %v, codes %v", c.Name, c.Outcomes, c.Codes)
+		}
+		d.t.Errorf("requests were cut, doubled, lost, or refused too often: %+v", v)
+	}
+}
+
+// loadUntil runs rounds of load until stopped is closed. Two of these overlap, so that requests are always in flight.
+func (d *deployment) loadUntil(stopped <-chan struct{}, seed uint64) []loadgen.Result {
+	const roundMillis = 4000
+	var results []loadgen.Result
+	for {
+		select {
+		case <-stopped:
+			return results
+		default:
+		}
+		seed += 2
+		r, err := loadgen.Run(context.Background(), loadgen.Config{
+			Entries: d.addresses(0), Rate: 30, DurationMillis: roundMillis, Seed: seed, CheckBody: true, RecordKeys: true,
+			Classes: []loadgen.Class{
+				{Name: "lookup", Service: "lookup", Path: "/lookup/items", Weight: 4},
+				{Name: "intake", Service: "intake", Method: "POST", Path: "/intake/check-ins", Weight: 4, BodyBytes: 64, NonIdempotent: true},
+				{Name: "sheets", Service: "sheets", Path: "/sheets/monthly", Weight: 0.4, TimeoutMillis: 30000},
+			},
+		})
+		if err != nil {
+			d.t.Errorf("load: %v", err)
+			return results
+		}
+		results = append(results, r)
+	}
+}
+
+func (d *deployment) restartEach() {
+	for _, vm := range d.vms {
+		start := time.Now()
+		vm.signal(syscall.SIGTERM)
+		d.wait(vm.name+" stops", vm.ended)
+		if code := vm.cmd.ProcessState.ExitCode(); code != 0 {
+			d.t.Errorf("%s exited with %d", vm.name, code)
+		}
+		d.t.Logf("%s stopped after %v", vm.name, time.Since(start).Round(time.Millisecond))
+		vm.start()
+		d.waitSessions(len(d.vms))
+		d.waitOwned()
+	}
+}
