daemon: test the framing of forwarded requests and responses

Cause: the framing between gateways had no test. Change: a table of exchanges between two peers: stated and unstated lengths, no body, HEAD, cut and aborted responses, large request bodies. Without the drain of an unread request body the row "large request refused unread" fails: the stream is cancelled instead of answered.

--- /dev/null
+++ b/internal/daemon/forward_test.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/keys"
+	"github.com/bramleypick/bramleypick/internal/peernet"
+)
+
+const (
+	peerSession = 7
+	// testTimeout bounds each exchange; it is far above what loopback needs.
+	testTimeout = 30 * time.Second
+)
+
+// streamHandler serves forwarded requests with an HTTP handler.
+type streamHandler struct{ handler http.Handler }
+
+func (streamHandler) HandleMessage(string, []byte) {}
+
+func (streamHandler) HandleCall(context.Context, string, []byte) ([]byte, error) { return nil, nil }
+
+func (h streamHandler) HandleStream(ctx context.Context, _ string, s peernet.Stream) {
+	serveForwarded(ctx, s, h.handler)
+}
+
+// forwardTo returns a forwarder to a peer that serves with handler.
+func forwardTo(t *testing.T, handler http.Handler) forwarder {
+	t.Helper()
+	ca, err := keys.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	file := func(name string) string { return filepath.Join(dir, name) }
+	if err := ca.Save(file("ca.crt"), file("ca.key")); err != nil {
+		t.Fatal(err)
+	}
+	listen := func(name string, peers map[string]string, h peernet.Handler) *peernet.Network {
+		pair, err := ca.Issue(name, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := pair.Save(file(name+".crt"), file(name+".key")); err != nil {
+			t.Fatal(err)
+		}
+		config, err := keys.Load(file("ca.crt"), file(name+".crt"), file(name+".key"), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := peernet.Listen(peernet.Config{Name: name, Address: "127.0.0.1:0", TLS: config, Peers: peers, Log: zap.NewNop()}, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { n.Close() })
+		return n
+	}
+	server := listen("vm2", map[string]string{"vm1": "127.0.0.1:1"}, streamHandler{handler})
+	client := listen("vm1", map[string]string{"vm2": server.Address()}, streamHandler{http.NotFoundHandler()})
+	view := &controlstate.View{Sessions: []controlstate.SessionInfo{{SessionID: peerSession, Gateway: "vm2"}}}
+	return forwarder{network: client, view: func() *controlstate.View { return view }}
+}
+
+// Guards against forwarded responses that lose their framing: a cut one must not look complete, and a complete one must end.
+func TestForwardFraming(t *testing.T) {
+	large := strings.Repeat("0123456789abcdef", 1<<16)
+	write := func(w http.ResponseWriter, text string) { _, _ = io.WriteString(w, text) }
+	for _, test := range []struct {
+		description, method, requestBody string
+		handler                          http.HandlerFunc
+		status                           int
+		body                             string
+		cut                              bool
+	}{
+		{"stated length", "GET", "", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+			write(w, "hello")
+		}, 200, "hello", false},
+		{"no stated length", "GET", "", func(w http.ResponseWriter, _ *http.Request) { write(w, "hello") }, 200, "hello", false},
+		{"large body without a stated length", "GET", "", func(w http.ResponseWriter, _ *http.Request) { write(w, large) }, 200, large, false},
+		{"empty", "GET", "", func(http.ResponseWriter, *http.Request) {}, 200, "", false},
+		{"no content", "DELETE", "", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }, 204, "", false},
+		{"response to HEAD with a length", "HEAD", "", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+			write(w, "hello")
+		}, 200, "", false},
+		{"request body arrives", "POST", large, func(w http.ResponseWriter, r *http.Request) {
+			// As the gateway does: the whole body is read before the response begins.
+			body, _ := io.ReadAll(r.Body)
+			_, _ = w.Write(body)
+		}, 200, large, false},
+		{"large request refused unread", "POST", large, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, 503, "", false},
+		{"shorter than stated", "GET", "", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			write(w, "hello")
+		}, 200, "hello", true},
+		{"aborted without a stated length", "GET", "", func(w http.ResponseWriter, _ *http.Request) {
+			write(w, "hello")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, 200, "hello", true},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			f := forwardTo(t, test.handler)
+			r, err := http.NewRequestWithContext(ctx, test.method, "http://vm2/lookup/item", strings.NewReader(test.requestBody))
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := f.Forward(ctx, peerSession, r)
+			if err != nil {
+				if !test.cut {
+					t.Fatal(err)
+				}
+				return // The abort overtook the first part of the response.
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			if (err != nil) != test.cut {
+				t.Fatalf("error %v, cut %v", err, test.cut)
+			}
+			if response.StatusCode != test.status || !test.cut && string(body) != test.body {
+				t.Fatalf("status %d and %d bytes, want %d and %d", response.StatusCode, len(body), test.status, len(test.body))
+			}
+		})
+	}
+}
