--- a/test/process/cases_test.go
+++ b/test/process/cases_test.go
@@ -3,6 +3,10 @@
 package process_test
 
 import (
+	"log"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/bramleypick/bramleypick/dynconfig"
@@ -41,6 +45,26 @@
 // Guards against changes by peers, upstreams and operators that must not make them.
 func TestRefusals(t *testing.T) { runCases(t) }
 
+// programs are the binaries under test, which TestMain builds once.
+var programs struct{ bramleypick, standin string }
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bramleypick-process")
+	if err != nil {
+		log.Fatal(err)
+	}
+	programs.bramleypick, programs.standin = filepath.Join(dir, "bramleypick"), filepath.Join(dir, "standin")
+	status := 1
+	out, err := exec.Command("go", "build", "-o", dir, "../../cmd/bramleypick", "../../cmd/standin").CombinedOutput()
+	if err == nil {
+		status = m.Run()
+	} else {
+		log.Printf("build: %v\n%s", err, out)
+	}
+	os.RemoveAll(dir)
+	os.Exit(status)
+}
+
 func runCases(t *testing.T) {
 	t.Parallel()
 	for _, c := range cases {
