lease: refuse renewals of sessions that ended

Cause: a renewal that was checked against the replicated state just before its session's end reached the table after Sync had removed the session, and counted as one not yet synced: it was granted in full while the upstreams got new owners. Change: the table remembers the highest session id it has seen and refuses unknown ids up to it. Before: the row "session ended" of TestTableRefusesRenewal fails. After: it passes. The new row with both clocks off by 1 % fails if either of the two margins is removed.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -25,6 +25,7 @@
 		{"slow response", 0, 2 * time.Second, 1},
 		{"holder's clock slow by 1 %", 0, 0, 0.99},
 		{"holder's clock fast by 1 %", 0, 0, 1.01},
+		{"both clocks off by 1 %, the holder's slow", 0, 0, 0.99 / 1.01},
 		{"slow both ways, slow clock", time.Second, time.Second, 0.99},
 	} {
 		t.Run(test.description, func(t *testing.T) {
@@ -60,6 +61,7 @@
 		{"current term", 2, func(*lease.Table) {}, true},
 		{"earlier term", 1, func(*lease.Table) {}, false},
 		{"later term not yet reset", 3, func(*lease.Table) {}, false},
+		{"session ended, renewal checked before the end", 2, func(table *lease.Table) { table.Sync(start, []uint64{8}) }, false},
 		{"expiry decided", 2, func(table *lease.Table) { table.Expired(start.Add(2 * ttl)) }, false},
 		{"new leader counts from its election", 3, func(table *lease.Table) { table.Reset(3, start.Add(ttl), []uint64{7}) }, true},
 	} {
--- a/lease/table.go
+++ b/lease/table.go
@@ -6,12 +6,13 @@
 )
 
 // Table is the grantor's side: the deadlines of all sessions. It is safe for concurrent use. A table belongs to one term
-// of leadership; Reset starts the next.
+// of leadership; Reset starts the next. Session ids must rise: a session opened later has a higher id.
 type Table struct {
 	mu       sync.Mutex
 	ttl      time.Duration
 	term     uint64
 	sessions map[uint64]*entry
+	highest  uint64 // highest session id that Reset or Sync has seen
 }
 
 type entry struct {
@@ -32,6 +33,7 @@
 	t.sessions = make(map[uint64]*entry, len(sessionIDs))
 	for _, id := range sessionIDs {
 		t.sessions[id] = &entry{deadline: now.Add(lengthen(t.ttl))}
+		t.highest = max(t.highest, id)
 	}
 }
 
@@ -42,6 +44,7 @@
 	live := make(map[uint64]bool, len(sessionIDs))
 	for _, id := range sessionIDs {
 		live[id] = true
+		t.highest = max(t.highest, id)
 		if t.sessions[id] == nil {
 			t.sessions[id] = &entry{deadline: now.Add(lengthen(t.ttl))}
 		}
@@ -54,7 +57,7 @@
 }
 
 // Renew extends a session and returns the duration to grant. receivedAt is when the renewal was received. It refuses
-// when the table belongs to another term and when the session's expiry was already decided.
+// when the table belongs to another term, when the session's expiry was already decided, and when the session ended.
 func (t *Table) Renew(term, sessionID uint64, receivedAt time.Time) (ttl time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,6 +66,11 @@
 	}
 	e := t.sessions[sessionID]
 	if e == nil {
+		if sessionID <= t.highest {
+			// The session was seen and has ended since. Its renewal may have been checked against the replicated state
+			// before the end; granting it now would make two owners of its upstreams.
+			return 0, false
+		}
 		// The session is in the replicated state and not yet synced here.
 		t.sessions[sessionID] = &entry{deadline: receivedAt.Add(lengthen(t.ttl))}
 		return t.ttl, true
