api: refuse null bodies, and every call where no token is configured

Cause: "null" decoded to a zero value that reached the backend, and with an empty token "Bearer " gave access.

--- a/internal/api/operator.go
+++ b/internal/api/operator.go
@@ -96,13 +96,14 @@
 }
 
 // requireToken compares digests in constant time, so that neither content nor length of the token can be learned by timing.
+// An empty token gives no access.
 func requireToken(token string) echo.MiddlewareFunc {
 	want := sha256.Sum256([]byte(token))
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			given, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
 			sum := sha256.Sum256([]byte(given))
-			if !ok || subtle.ConstantTimeCompare(sum[:], want[:]) != 1 {
+			if !ok || token == "" || subtle.ConstantTimeCompare(sum[:], want[:]) != 1 {
 				return respond(c, nil, resultcode.Errorf(resultcode.Unauthorized, "operator credential missing or wrong"))
 			}
 			return next(c)
--- a/internal/api/respond.go
+++ b/internal/api/respond.go
@@ -99,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if bytes.Equal(bytes.TrimSpace(body), []byte("null")) {
+		return resultcode.Errorf(resultcode.MalformedBody, "the body is null")
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
