opclient: resend the same change, and keep an unknown outcome

Cause: without a base version or change id each entry VM filled in its own, so that a resend was a different change and was refused as change_id_reused or made twice. A change with a lost answer was reported as refused when the next VM could not reach the control group. No address at all was a success. Change: the base version and the id are fixed before the first try; an unknown outcome outlasts "not run" refusals of later VMs; no address is an error.

--- a/internal/opclient/client.go
+++ b/internal/opclient/client.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -39,18 +40,29 @@
 // Apply puts a configuration in force.
 func (c *Client) Apply(ctx context.Context, change api.ConfigChange) (api.Accepted, error) {
 	var accepted api.Accepted
+	if change.BaseVersion == nil {
+		// The entry VMs would each take their own current version, and a resend would be a different change.
+		current, err := c.Config(ctx)
+		if err != nil {
+			return accepted, err
+		}
+		change.BaseVersion = &current.ConfigVersion
+	}
+	change.ChangeID = idOrRandom(change.ChangeID)
 	return accepted, c.call(ctx, http.MethodPost, "config", change, &accepted)
 }
 
 // Stop adds a planned stop.
 func (c *Client) Stop(ctx context.Context, change api.StopChange) (api.Accepted, error) {
 	var accepted api.Accepted
+	change.ChangeID = idOrRandom(change.ChangeID)
 	return accepted, c.call(ctx, http.MethodPost, "stops", change, &accepted)
 }
 
 // Return removes a planned stop.
 func (c *Client) Return(ctx context.Context, change api.StopChange) (api.Accepted, error) {
 	var accepted api.Accepted
+	change.ChangeID = idOrRandom(change.ChangeID)
 	return accepted, c.call(ctx, http.MethodPost, "returns", change, &accepted)
 }
 
@@ -66,7 +78,16 @@
 	return config, c.call(ctx, http.MethodGet, "config", nil, &config)
 }
 
-// call tries every address until one gives an answer that another could not better.
+// idOrRandom gives a change without an id one, so that all entry VMs see the same.
+func idOrRandom(changeID string) string {
+	if changeID == "" {
+		return rand.Text()
+	}
+	return changeID
+}
+
+// call tries every address until one gives an answer that another could not better. A change that one entry VM may have
+// made is not reported as refused because the next one could not reach the control group.
 func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
 	var encoded []byte
 	if body != nil {
@@ -75,16 +96,32 @@
 			return errors.Wrap(err, "encode the request")
 		}
 	}
-	var last error
+	last := errors.New("no address of an entry VM")
+	var unknown error
 	for _, address := range c.addresses {
 		last = c.try(ctx, method, "http://"+address+api.SystemPrefix+"v1/"+path, encoded, answer)
-		if last == nil || final(last) || ctx.Err() != nil {
+		if last == nil || final(last) {
 			return last
 		}
+		if unknown == nil && !notRun(last) {
+			unknown = last
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if unknown != nil {
+		return unknown
 	}
 	return last
 }
 
+// notRun tells whether the error says that nothing was changed.
+func notRun(err error) bool {
+	var refusal *api.Refusal
+	return errors.As(err, &refusal) && refusal.NotRun
+}
+
 func (c *Client) try(ctx context.Context, method, url string, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
