controlclient: ask a silent replica last

Cause: while the leader is cut off silently, each renewal waited 900 ms for it first, and again on the outdated advice of the others. A response that cannot be decoded counted as "certainly not appended". Change: the last replica that did not answer is asked last and not on advice; such a response means outcome unknown.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	caller   Caller
 	replicas []string
 	leader   atomic.Pointer[string]
+	silent   atomic.Pointer[string] // the last replica that did not answer, nil once it did
 }
 
 // New returns a client of the control replicas with the given names.
@@ -52,6 +54,7 @@
 		}
 		submitted = controlproto.Submitted{}
 		if controlproto.Decode(data, &submitted) != nil {
+			maybeAppended = true
 			return "", false
 		}
 		maybeAppended = maybeAppended || submitted.Code == resultcode.ChangeOutcomeUnknown
@@ -140,7 +143,7 @@
 			c.leader.Store(&replica)
 			return true
 		}
-		if hint == "" || hint == replica || ctx.Err() != nil {
+		if hint == "" || hint == replica || c.isSilent(hint) || ctx.Err() != nil {
 			return false
 		}
 		replica = hint
@@ -151,20 +154,42 @@
 func (c *Client) call(ctx context.Context, replica string, data []byte, handle func([]byte, error) (string, bool)) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return handle(c.caller.Call(ctx, replica, data))
+	response, err := c.caller.Call(ctx, replica, data)
+	c.noteAnswer(replica, err)
+	return handle(response, err)
 }
 
-func (c *Client) candidates() []string {
-	leader := c.leader.Load()
-	if leader == nil {
-		return c.replicas
+// noteAnswer remembers the last replica that did not answer.
+func (c *Client) noteAnswer(replica string, err error) {
+	switch {
+	case err != nil:
+		c.silent.Store(&replica)
+	case c.isSilent(replica):
+		c.silent.Store(nil)
 	}
-	ordered := []string{*leader}
-	for _, r := range c.replicas {
-		if r != *leader {
-			ordered = append(ordered, r)
+}
+
+func (c *Client) isSilent(replica string) bool {
+	silent := c.silent.Load()
+	return silent != nil && *silent == replica
+}
+
+// candidates returns the replicas in the order in which to call them: the presumed leader first, and a replica that did not
+// answer last. Waiting for a leader that was cut off silently, in each call or on the others' outdated advice, would cost
+// more than the session TTL.
+func (c *Client) candidates() []string {
+	ordered := slices.Clone(c.replicas)
+	rank := func(name string) int {
+		leader := c.leader.Load()
+		switch {
+		case c.isSilent(name):
+			return 2
+		case leader != nil && *leader == name:
+			return 0
 		}
+		return 1
 	}
+	slices.SortStableFunc(ordered, func(a, b string) int { return rank(a) - rank(b) })
 	return ordered
 }
 
