control: end sessions whose grants do not arrive

Cause: with only the way to a gateway cut, its renewals kept its session alive, and no grant reached it: it owned its upstreams without a lease and held up changes and stops for as long as the cut lasted. A gateway whose answers were lost also opened a session every 2 s. Change: renewals tell when no lease is held; the leader refuses them after half a TTL of that. An unanswered OpenSession is sent again under the same id. A command that is too large or malformed is refused instead of having an unknown outcome. Watches are bounded by the replica. Renewals are paced by a timer.

--- a/internal/controlclient/session.go
+++ b/internal/controlclient/session.go
@@ -42,6 +42,7 @@
 type Session struct {
 	cfg    SessionConfig
 	holder lease.Holder
+	openID string // of the session to open, kept while the outcome is not known; used by Run only
 
 	mu   sync.Mutex // guards view, and orders the calls of SetView
 	view *controlstate.View
@@ -78,29 +79,38 @@
 	wg.Wait()
 }
 
+// open opens a session. A command whose outcome is not known is sent again under the same id, so that an outage leaves no
+// further sessions behind that own upstreams and delay changes until they expire.
 func (s *Session) open(ctx context.Context) (uint64, bool) {
 	command := s.cfg.Gateway
-	command.OpenID = rand.Text()
+	if s.openID == "" {
+		s.openID = rand.Text()
+	}
+	command.OpenID = s.openID
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	result, err := s.cfg.Client.Submit(ctx, controlstate.Command{Kind: controlstate.KindOpenSession, OpenSession: &command})
 	if err != nil || result.Code != resultcode.OK {
+		if err == nil {
+			s.openID = ""
+		}
 		s.cfg.Log.Warn("session not opened", zap.Error(err), zap.Stringer("code", result.Code))
 		_ = sleep(ctx, searchPause)
 		return 0, false
 	}
+	s.openID = ""
 	return result.SessionID, true
 }
 
 // renewLoop renews until the session is refused or ctx ends.
 func (s *Session) renewLoop(ctx context.Context, id uint64) {
-	ticker := time.NewTicker(s.cfg.RenewInterval)
-	defer ticker.Stop()
-	for s.renew(ctx, id) {
-		select {
-		case <-ctx.Done():
+	for ctx.Err() == nil {
+		next := time.Now().Add(s.cfg.RenewInterval)
+		if !s.renew(ctx, id) {
 			return
-		case <-ticker.C:
+		}
+		if wait := time.Until(next); wait > 0 {
+			_ = sleep(ctx, wait)
 		}
 	}
 }
@@ -125,7 +135,7 @@
 }
 
 func (s *Session) renewal(id uint64) controlproto.Renew {
-	renew := controlproto.Renew{SessionID: id}
+	renew := controlproto.Renew{SessionID: id, Lapsed: !s.holder.Valid(time.Now())}
 	if v := s.View(); v != nil {
 		renew.ViewIndex, renew.ConfigVersion = v.Index, v.ConfigVersion
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -20,6 +20,12 @@
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
+// maxWatchWait bounds how long a watch is held open, whatever the gateway asks for.
+const maxWatchWait = 10 * time.Second
+
+// errMalformed tells that a command cannot be encoded and was not appended.
+var errMalformed = errors.New("malformed command")
+
 // Node is the replica that the server runs on.
 type Node interface {
 	Propose(ctx context.Context, data []byte) ([]byte, error)
@@ -94,14 +100,20 @@
 		return controlproto.Grant{Code: resultcode.NoQuorum}
 	}
 	view := s.views.current()
-	if view.Session(renew.SessionID) == nil {
+	session := view.Session(renew.SessionID)
+	if session == nil {
+		return controlproto.Grant{Code: resultcode.UnknownSession}
+	}
+	if lapsed := s.confirmations.noteLapse(renew, receivedAt); !lapsed.IsZero() && receivedAt.Sub(lapsed) > s.cfg.SessionTTL/2 {
+		// Renewals arrive here and grants do not arrive there. Without this refusal the session would own its upstreams for
+		// as long as that lasts, while its gateway starts no work.
 		return controlproto.Grant{Code: resultcode.UnknownSession}
 	}
 	ttl, ok := s.leases.Renew(term, renew.SessionID, receivedAt)
 	if !ok {
 		return controlproto.Grant{Code: resultcode.NotLeader}
 	}
-	s.confirmations.record(term, renew, receivedAt)
+	s.confirmations.record(term, session.Gateway, renew, receivedAt)
 	grant := controlproto.Grant{TTLMillis: ttl.Milliseconds()}
 	if view.Index > renew.ViewIndex {
 		grant.View = view
@@ -110,7 +122,8 @@
 }
 
 func (s *Server) watch(ctx context.Context, watch *controlproto.Watch) controlproto.Views {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(watch.WaitMillis)*time.Millisecond)
+	wait := time.Duration(min(watch.WaitMillis, maxWatchWait.Milliseconds())) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return controlproto.Views{View: s.views.newerThan(ctx, watch.ViewIndex)}
 }
@@ -122,6 +135,10 @@
 		return controlproto.Submitted{Result: result}
 	case errors.Is(err, controlnode.ErrNotLeader):
 		return controlproto.Submitted{Code: resultcode.NotLeader, Leader: s.leaderName()}
+	case errors.Is(err, replog.ErrTooLarge):
+		return controlproto.Submitted{Result: controlstate.Result{Code: resultcode.BodyTooLarge, Message: err.Error()}}
+	case errors.Is(err, errMalformed):
+		return controlproto.Submitted{Result: controlstate.Result{Code: resultcode.MalformedCommand, Message: err.Error()}}
 	default:
 		return controlproto.Submitted{Code: resultcode.ChangeOutcomeUnknown}
 	}
@@ -132,7 +149,7 @@
 	command.AtUnixMilli = time.Now().UnixMilli()
 	data, err := controlstate.EncodeCommand(command)
 	if err != nil {
-		return controlstate.Result{}, err
+		return controlstate.Result{}, errors.Wrap(errMalformed, err.Error())
 	}
 	response, err := s.cfg.Node.Propose(ctx, data)
 	if err != nil {
--- a/internal/controlproto/messages.go
+++ b/internal/controlproto/messages.go
@@ -27,6 +27,8 @@
 	ConfigVersion uint64 `cbor:"3,keyasint"`
 	// Busy lists the upstreams in a planned stop where requests of this gateway are still in flight.
 	Busy []BusyUpstream `cbor:"4,keyasint,omitempty"`
+	// Lapsed tells that the gateway held no valid lease when it sent this renewal.
+	Lapsed bool `cbor:"5,keyasint,omitempty"`
 }
 
 // BusyUpstream is an upstream with requests in flight.
