controlplane: bind expiries and reports to their term

Cause: after a proposal that failed by a change of leader, the remaining expiries of the old term were proposed in a later term of the same replica, although the leader in between may have renewed them: two owners. A report between an election and the start of the duties used confirmations of an earlier term and missed sessions that ended in between. A session that its gateway ended with requests in flight was forgotten. Change: expiries and reports check the term; sessions that vanish busy or without the current version count as ended. The pause between rounds of duties uses a timer. Before: TestDecisionsEndWithTheirTerm sees 2 proposals and a report; the stop row for an ended session sees 2 requests at a stopped upstream. After: both pass.

--- a/internal/controlplane/leader.go
+++ b/internal/controlplane/leader.go
@@ -26,14 +26,14 @@
 
 // Run performs the leader's duties whenever this replica leads, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	ticker := time.NewTicker(dutyInterval)
-	defer ticker.Stop()
 	var duties leaderDuties
 	for {
+		timer := time.NewTimer(dutyInterval)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			s.perform(ctx, &duties)
 		}
 	}
@@ -43,9 +43,15 @@
 type leaderDuties struct {
 	term            uint64
 	votersCheckedAt time.Time
+	desiredFor      *controlstate.View // for which the desired voters were set
 }
 
 func (s *Server) perform(ctx context.Context, duties *leaderDuties) {
+	if view := s.views.current(); view != duties.desiredFor {
+		// On every replica: a new leader promotes its desired voters at once.
+		duties.desiredFor = view
+		s.cfg.Node.SetDesiredVoters(s.desiredVoters(view))
+	}
 	term, leading := s.leadingTerm()
 	if !leading {
 		return
@@ -55,8 +61,10 @@
 	}
 	duties.term = term
 	now := time.Now()
-	s.leases.Sync(now, sessionIDs(s.views.current()))
-	s.expireSessions(ctx, now)
+	view := s.views.current()
+	s.leases.Sync(now, sessionIDs(view))
+	s.confirmations.keep(view, now)
+	s.expireSessions(ctx, term, now)
 	s.assignUpstreams(ctx)
 	if now.Sub(duties.votersCheckedAt) >= voterAdjustInterval {
 		duties.votersCheckedAt = now
@@ -79,9 +87,13 @@
 }
 
 // expireSessions ends the sessions whose leases ran out. The lease table refuses their renewal from the decision on, so a
-// session that is ended here holds no lease.
-func (s *Server) expireSessions(ctx context.Context, now time.Time) {
+// session that is ended here holds no lease. The decision is valid in this term only: a leader elected meanwhile may have
+// renewed the session, and this replica may lead again by the time the proposals before have failed.
+func (s *Server) expireSessions(ctx context.Context, term uint64, now time.Time) {
 	for _, id := range s.leases.Expired(now) {
+		if current, leading := s.leadingTerm(); !leading || current != term {
+			return
+		}
 		gateway := ""
 		if info := s.views.current().Session(id); info != nil {
 			gateway = info.Gateway
--- a/internal/controlplane/status.go
+++ b/internal/controlplane/status.go
@@ -19,8 +19,12 @@
 	if _, err := s.cfg.Node.ReadBarrier(ctx); err != nil {
 		return controlproto.Report{Code: resultcode.NoQuorum}
 	}
+	if current, ok := s.leadingTerm(); !ok || current != term || !s.confirmations.isOf(term) {
+		return controlproto.Report{Code: resultcode.NoQuorum}
+	}
 	now := time.Now()
 	view := s.views.current()
+	s.confirmations.keep(view, now)
 	node := s.cfg.Node.Status()
 	return controlproto.Report{
 		Leader:        s.leaderName(),
