controlplane: let stops wait for upstreams that are gone

Cause: an upstream that stopped announcing itself left the state, and its stop was reported as stopped at once, with requests still running there. Change: busy upstreams that are not in the state hold up stops of zones, and a stop of an upstream counts its id. Before: TestInvariantGracefulStop fails in both rows about announcements. After: it passes.

--- a/internal/controlplane/stops.go
+++ b/internal/controlplane/stops.go
@@ -7,6 +7,7 @@
 	"github.com/bramleypick/bramleypick/controlstate"
 	"github.com/bramleypick/bramleypick/dynconfig"
 	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/lease"
 )
 
 // stopReports tells for each planned stop what it still waits for. "Stopped" means that no gateway, reachable or not, can have
@@ -24,10 +25,6 @@
 }
 
 func (s *Server) stopWaitsFor(view *controlstate.View, stop dynconfig.Stop, now time.Time) []string {
-	affected := affectedUpstreams(view, stop)
-	if len(affected) == 0 {
-		return nil
-	}
 	var waiting []string
 	for _, info := range view.Sessions {
 		conf, ok := s.confirmations.session(info.SessionID)
@@ -36,12 +33,12 @@
 			continue
 		}
 		for _, busy := range conf.busy {
-			if affected[busy.ID] {
+			if affects(view, stop, busy.ID) {
 				waiting = append(waiting, fmt.Sprintf("gateway %s has %d requests in flight at upstream %s", info.Gateway, busy.InFlight, busy.ID))
 			}
 		}
 	}
-	return append(waiting, s.endedSessionsWaits(longestTimeout(view, affected), now)...)
+	return append(waiting, s.endedSessionsWaits(longestTimeout(view, stop), now)...)
 }
 
 func (s *Server) endedSessionsWaits(longest time.Duration, now time.Time) []string {
@@ -56,27 +53,33 @@
 	return waiting
 }
 
-func affectedUpstreams(view *controlstate.View, stop dynconfig.Stop) map[string]bool {
-	affected := make(map[string]bool)
-	for _, u := range view.Upstreams {
-		if (stop.Zone != "" && u.Zone == stop.Zone) || (stop.Upstream != "" && u.ID == stop.Upstream) {
-			affected[u.ID] = true
-		}
+// affects tells whether requests at an upstream delay the stop. An upstream that stopped announcing itself is no longer in
+// the state, while requests may still run there; its zone is not known, so every stop of a zone waits for it.
+func affects(view *controlstate.View, stop dynconfig.Stop, upstreamID string) bool {
+	if stop.Upstream != "" {
+		return upstreamID == stop.Upstream
 	}
-	return affected
+	u := view.Upstream(upstreamID)
+	return u == nil || u.Zone == stop.Zone
 }
 
-// longestTimeout returns the longest class timeout of the services that the upstreams belong to: no request runs longer.
-func longestTimeout(view *controlstate.View, affected map[string]bool) time.Duration {
+// longestTimeout returns the longest class timeout of the services that may have requests at the stopped upstreams: that of
+// the upstream's service where it is known, of all services otherwise. It is lengthened by the largest error of a clock.
+func longestTimeout(view *controlstate.View, stop dynconfig.Stop) time.Duration {
+	service := ""
+	if u := view.Upstream(stop.Upstream); u != nil && view.Config.Service(u.Service) != nil {
+		service = u.Service
+	}
 	longest := 0
-	for _, u := range view.Upstreams {
-		service := view.Config.Service(u.Service)
-		if !affected[u.ID] || service == nil {
+	for i := range view.Config.Services {
+		s := &view.Config.Services[i]
+		if service != "" && s.Name != service {
 			continue
 		}
-		for _, class := range service.WithDefaults().Classes {
+		for _, class := range s.WithDefaults().Classes {
 			longest = max(longest, class.TimeoutMillis)
 		}
 	}
-	return time.Duration(longest) * time.Millisecond
+	d := time.Duration(longest) * time.Millisecond
+	return d + d*lease.MaxClockRateErrorPercent/100
 }
