controlplane: choose the desired voters from the configuration

Cause: where fewer than three replicas were left outside stopped zones, all replicas were desired while those in the stopped zones were demoted, so that they were demoted and promoted without end. A new leader also promoted the voters that it desired at its own start. Before: TestVotersKept with four replicas, and with five and two stopped zones, never settles (30 s). After: it settles and stays for 10 s, also across a change of leader.

--- a/internal/controlplane/voters.go
+++ b/internal/controlplane/voters.go
@@ -18,12 +18,11 @@
 // proposes at most one change.
 func (s *Server) adjustVoters(ctx context.Context) {
 	view := s.views.current()
-	s.cfg.Node.SetDesiredVoters(s.desiredVoters(view))
 	status := s.cfg.Node.Status()
 	if status.ChangePending || !status.TermCommitted {
 		return
 	}
-	change, ok := s.nextChange(view, status.Membership)
+	change, ok := s.nextChange(s.desiredVoters(view), status)
 	if !ok {
 		return
 	}
@@ -33,27 +32,30 @@
 	s.cfg.Log.Info("membership change proposed", zap.Uint8("kind", uint8(change.Kind)), zap.Uint64("node_id", uint64(change.Node)), zap.Error(err))
 }
 
-// desiredVoters returns the configured replicas outside stopped zones, or all where too few would remain.
+// desiredVoters returns the configured replicas outside stopped zones. Where fewer than minVoters are left, replicas in
+// stopped zones fill up in the order of their ids. The set depends on the configuration only, so that a replica is not
+// demoted and promoted in turn.
 func (s *Server) desiredVoters(view *controlstate.View) []replog.NodeID {
-	var all, desired []replog.NodeID
+	var desired, stopped []replog.NodeID
 	for id, replica := range s.cfg.Replicas {
-		all = append(all, id)
-		if !view.Config.ZoneStopped(replica.Zone) {
+		if view.Config.ZoneStopped(replica.Zone) {
+			stopped = append(stopped, id)
+		} else {
 			desired = append(desired, id)
 		}
 	}
-	if len(desired) < minVoters {
-		desired = all
-	}
+	slices.Sort(stopped)
+	missing := min(len(stopped), max(0, minVoters-len(desired)))
+	desired = append(desired, stopped[:missing]...)
 	slices.Sort(desired)
 	return desired
 }
 
-func (s *Server) nextChange(view *controlstate.View, membership replog.Membership) (replog.MembershipChange, bool) {
-	for _, id := range membership.Voters {
-		if len(membership.Voters) > minVoters && view.Config.ZoneStopped(s.cfg.Replicas[id].Zone) {
-			return replog.MembershipChange{Kind: replog.ChangeDemoteVoter, Node: id}, true
-		}
+// nextChange returns the membership change to propose now, if any.
+func (s *Server) nextChange(desired []replog.NodeID, status replog.Status) (replog.MembershipChange, bool) {
+	membership := status.Membership
+	if id, ok := s.toDemote(desired, status); ok {
+		return replog.MembershipChange{Kind: replog.ChangeDemoteVoter, Node: id}, true
 	}
 	for id := range s.cfg.Replicas {
 		if !slices.Contains(membership.Voters, id) && !slices.Contains(membership.Learners, id) {
@@ -67,3 +69,20 @@
 	}
 	return replog.MembershipChange{}, false
 }
+
+// toDemote returns a configured voter that is not desired, this replica last, because a leader that demotes itself steps down.
+func (s *Server) toDemote(desired []replog.NodeID, status replog.Status) (id replog.NodeID, ok bool) {
+	if len(status.Membership.Voters) <= minVoters {
+		return 0, false
+	}
+	for _, voter := range status.Membership.Voters {
+		if _, configured := s.cfg.Replicas[voter]; !configured || slices.Contains(desired, voter) {
+			continue
+		}
+		if voter != status.ID {
+			return voter, true
+		}
+		id, ok = voter, true
+	}
+	return id, ok
+}
