controlplane: never publish an older view

Cause: the daemon publishes once from another goroutine at its start, which could replace a newer view by an older one until the next change. Change: views with an index that is not higher are ignored. No test covers the interleaving.

--- a/internal/controlplane/view_feed.go
+++ b/internal/controlplane/view_feed.go
@@ -18,10 +18,12 @@
 	return &viewFeed{view: view, changed: make(chan struct{})}
 }
 
+// publish replaces the view by a newer one. Callers on several goroutines may arrive out of order, so an older view is
+// ignored.
 func (f *viewFeed) publish(view *controlstate.View) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if view == f.view {
+	if view.Index <= f.view.Index {
 		return
 	}
 	f.view = view
