--- a/internal/controlplane/stops.go
+++ b/internal/controlplane/stops.go
@@ -7,6 +7,7 @@
 	"github.com/bramleypick/bramleypick/controlstate"
 	"github.com/bramleypick/bramleypick/dynconfig"
 	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/lease"
 )
 
 // clockTolerance covers the difference between the wall clocks of two leaders, where one recorded the loss of a gateway and the
@@ -15,7 +16,8 @@
 
 // stopReports tells for each planned stop what it still waits for. "Stopped" means that no gateway, reachable or not, can have
 // work at the stopped upstreams: each live session confirmed the configuration and has nothing in flight there, and each
-// session that was lost has been gone for longer than its requests may run.
+// session that was lost has been gone for longer than its requests may run. A gateway removes an upstream from the state
+// only once nothing of its own runs there.
 func (s *Server) stopReports(view *controlstate.View, now time.Time) []controlproto.StopReport {
 	var reports []controlproto.StopReport
 	for _, stop := range view.Config.Stops {
@@ -28,10 +30,6 @@
 }
 
 func (s *Server) stopWaitsFor(view *controlstate.View, stop dynconfig.Stop, now time.Time) []string {
-	affected := affectedUpstreams(view, stop)
-	if len(affected) == 0 {
-		return nil
-	}
 	var waiting []string
 	for _, info := range view.Sessions {
 		conf, ok := s.confirmations.session(info.SessionID)
@@ -40,19 +38,19 @@
 			continue
 		}
 		for _, busy := range conf.busy {
-			if affected[busy.ID] {
+			if affects(view, stop, busy.ID) {
 				waiting = append(waiting, fmt.Sprintf("gateway %s has %d requests in flight at upstream %s", info.Gateway, busy.InFlight, busy.ID))
 			}
 		}
 	}
-	return append(waiting, orphanWaits(view, affected, now)...)
+	return append(waiting, orphanWaits(view, stop, now)...)
 }
 
 // orphanWaits lists the affected upstreams where requests of a gateway that was lost may still run.
-func orphanWaits(view *controlstate.View, affected map[string]bool, now time.Time) []string {
+func orphanWaits(view *controlstate.View, stop dynconfig.Stop, now time.Time) []string {
 	var waiting []string
 	for _, u := range view.Upstreams {
-		if !affected[u.ID] || u.OrphanedAtUnixMilli == 0 {
+		if u.OrphanedAtUnixMilli == 0 || !affects(view, stop, u.ID) {
 			continue
 		}
 		until := time.UnixMilli(u.OrphanedAtUnixMilli).Add(longestTimeout(view, u.Service) + clockTolerance)
@@ -63,25 +61,36 @@
 	return waiting
 }
 
-func affectedUpstreams(view *controlstate.View, stop dynconfig.Stop) map[string]bool {
-	affected := make(map[string]bool)
-	for _, u := range view.Upstreams {
-		if (stop.Zone != "" && u.Zone == stop.Zone) || (stop.Upstream != "" && u.ID == stop.Upstream) {
-			affected[u.ID] = true
-		}
+// affects tells whether requests at an upstream delay the stop. An upstream that stopped announcing itself is no longer in
+// the state, while requests may still run there; its zone is not known, so every stop of a zone waits for it.
+func affects(view *controlstate.View, stop dynconfig.Stop, upstreamID string) bool {
+	if stop.Upstream != "" {
+		return upstreamID == stop.Upstream
 	}
-	return affected
+	u := view.Upstream(upstreamID)
+	return u == nil || u.Zone == stop.Zone
 }
 
-// longestTimeout returns the longest class timeout of a service: none of its requests runs longer.
+// longestTimeout returns the longest class timeout of a service, lengthened by the largest error of a clock: none of its
+// requests runs longer. For a service that is no longer configured it is that of all others.
 func longestTimeout(view *controlstate.View, name string) time.Duration {
-	service := view.Config.Service(name)
-	if service == nil {
-		return dynconfig.DefaultTimeoutMillis * time.Millisecond
+	longest := dynconfig.DefaultTimeoutMillis
+	if service := view.Config.Service(name); service != nil {
+		longest = longestClassTimeout(service)
+	} else {
+		for i := range view.Config.Services {
+			longest = max(longest, longestClassTimeout(&view.Config.Services[i]))
+		}
 	}
+	d := time.Duration(longest) * time.Millisecond
+	return d + d*lease.MaxClockRateErrorPercent/100
+}
+
+// longestClassTimeout returns the longest class timeout of a service, in ms.
+func longestClassTimeout(service *dynconfig.Service) int {
 	longest := 0
 	for _, class := range service.WithDefaults().Classes {
 		longest = max(longest, class.TimeoutMillis)
 	}
-	return time.Duration(longest) * time.Millisecond
+	return longest
 }
--- a/internal/daemon/busy.go
+++ b/internal/daemon/busy.go
@@ -19,3 +19,15 @@
 	}
 	return busy
 }
+
+// requestsAt returns how many requests of this gateway and of former owners may run at an upstream.
+func requestsAt(status gateway.Status, upstreamID string) int {
+	for _, service := range status.Services {
+		for _, u := range service.Upstreams {
+			if u.ID == upstreamID {
+				return u.Remaining
+			}
+		}
+	}
+	return 0
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,7 @@
 	if err := d.newGateway(); err != nil {
 		return err
 	}
+	d.upstreams.inFlight = func(upstreamID string) int { return requestsAt(d.gateway.Status(), upstreamID) }
 	d.handover = newHandover(d.client, d.session.Lease(), d.gateway.Status, d.log.Named("handover"))
 	d.loads = &loadReporter{
 		network: d.network, lease: d.session.Lease(), view: view, status: d.gateway.Status, last: make(map[string]sentLoad),
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -34,12 +34,14 @@
 // upstreams receives announcements: it registers new upstreams with the control group, and keeps the liveness of those that
 // this gateway owns.
 type upstreams struct {
-	client  *controlclient.Client
-	caller  controlclient.Caller
-	lease   *lease.Holder
-	view    func() *controlstate.View
-	limiter *rate.Limiter
-	log     *zap.Logger
+	client *controlclient.Client
+	caller controlclient.Caller
+	lease  *lease.Holder
+	view   func() *controlstate.View
+	// inFlight tells how many requests may run at an upstream; nil before the gateway exists.
+	inFlight func(upstreamID string) int
+	limiter  *rate.Limiter
+	log      *zap.Logger
 
 	mu       sync.Mutex
 	lastSeen map[string]time.Time // by upstream id, for upstreams that this gateway owns
@@ -169,7 +171,8 @@
 			seen = now
 		}
 		owned[info.ID] = seen
-		if now.Sub(seen) > upstreamTTL {
+		// An upstream with requests in flight stays in the state, so that a planned stop waits for them.
+		if now.Sub(seen) > upstreamTTL && u.inFlight(info.ID) == 0 {
 			silent = append(silent, info)
 		}
 	}
