--- a/internal/opclient/client_test.go
+++ b/internal/opclient/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -39,6 +40,7 @@
 		t.Run(test.description, func(t *testing.T) {
 			is := is.New(t)
 			var addresses []string
+			var mu sync.Mutex // guards changes
 			var changes []api.ConfigChange
 			for i, answer := range test.answers {
 				server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +51,9 @@
 					}
 					var change api.ConfigChange
 					is.NoErr(json.NewDecoder(r.Body).Decode(&change))
+					mu.Lock()
 					changes = append(changes, change)
+					mu.Unlock()
 					switch answer {
 					case accepted:
 						_ = json.NewEncoder(w).Encode(api.Accepted{ConfigVersion: 7})
@@ -75,6 +79,8 @@
 			default:
 				is.True(err != nil && test.code == lost)
 			}
+			mu.Lock()
+			defer mu.Unlock()
 			is.Equal(len(changes), test.tried)
 			for _, change := range changes {
 				is.True(change.ChangeID != "" && change.ChangeID == changes[0].ChangeID)
