standin, admission: let upstreams report what they can bear in a cold start

Cause: in the zone experiment upstreams in cold start still had 3 requests at once. The gateway's ramp rises after 4 completions for each slot, the test upstream's own limit after 20 completions in all, and its load report named its full slots throughout. The contract now says that the reported slots are those that the upstream can bear now; the gateway already takes the lower of announced and reported slots. The test upstream reports its present limit unless its cold start is hidden, and counts requests beyond that limit, which is what the experiment now shows. Also: the end of a stop counted from the last view that was published during it, so that a hand-over after a stop of more than 30 s lifted the limit at once; the test row now waits an hour and failed before.

--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -67,6 +67,7 @@
 		}, 1},
 		{"return from a planned stop with a hand-over", true, func(b *bench) {
 			again(func(u *Upstream) { u.Owned, u.Stopping = false, true })(b)
+			b.wait(time.Hour)
 			again(func(u *Upstream) { u.Owned, u.Epoch = false, 2 })(b)
 			again(func(u *Upstream) { u.Epoch = 3 })(b)
 			b.wait(2 * time.Second)
--- a/admission/setupstreams.go
+++ b/admission/setupstreams.go
@@ -41,7 +41,7 @@
 	} else {
 		s.update(u, info, now)
 	}
-	if info.Stopping {
+	if info.Stopping || u.info.Stopping {
 		u.stoppedAt = now
 	}
 	u.info = info
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -140,17 +140,17 @@
 	p.line("%d upstreams of three services in three zones, %.0f requests/s, which hold %d %% of all slots: status checks, callouts with", size.Upstreams, size.Rate, size.LoadPercent)
 	p.line("idempotency keys, and downloads of 2 s. One zone is stopped after %v; its upstreams restart cold and the zone returns after %v.", zoneStopAt, zoneReturnAt)
 	p.line("Times in ms, from the acceptance of the stop or the return. Not run and uncertain count the callers' final outcomes after up to three")
-	p.line("resends; doubled and lost count idempotency keys. p99: median of the p99 of 100 ms steps before, during and after. Most cold: most requests")
-	p.line("at once at an upstream in cold start, which can bear %d.", zoneColdSlots)
+	p.line("resends; doubled and lost count idempotency keys. p99: median of the p99 of 100 ms steps before, during and after. Beyond cold: most")
+	p.line("requests at once at an upstream in cold start, less what it could bear at that moment (%d right after its start, rising with work).", zoneColdSlots)
 	p.line("")
 	p.line("![zone departure](zone.svg)")
 	p.line("")
-	p.line("| fault | last new request | in force | stopped | share back | sent | not run | uncertain | doubled | lost | false not run | p99 before / during / after | most cold |")
+	p.line("| fault | last new request | in force | stopped | share back | sent | not run | uncertain | doubled | lost | false not run | p99 before / during / after | beyond cold |")
 	p.line("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, z := range r.Zone {
 		v := z.Verdict
 		p.line("| %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %d | %.1f / %.1f / %.1f | %d |", z.Variant, z.LastNewMillis, z.InForceMillis,
-			z.StoppedMillis, z.ShareMillis, v.Sent, v.NotRun, v.Uncertain, v.Doubled, v.Lost, v.FalseNotRun, z.Before, z.During, z.After, z.MostCold)
+			z.StoppedMillis, z.ShareMillis, v.Sent, v.NotRun, v.Uncertain, v.Doubled, v.Lost, v.FalseNotRun, z.Before, z.During, z.After, z.MostBeyondCold)
 	}
 }
 
--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -58,9 +58,9 @@
 	StoppedMillis int64 `json:"stopped_ms"`
 	// ShareMillis is the time from the acceptance of the return until the zone carried 80 % of its share, in ms; -1 if never.
 	ShareMillis int64 `json:"share_ms"`
-	// MostCold is the most requests at once at an upstream in cold start; it can bear zoneColdSlots.
-	MostCold int            `json:"most_cold"`
-	Verdict  verify.Verdict `json:"verdict"`
+	// MostBeyondCold is the most requests at once at an upstream in cold start, less what it could bear at that moment.
+	MostBeyondCold int            `json:"most_beyond_cold"`
+	Verdict        verify.Verdict `json:"verdict"`
 	// Before, During and After are the p99 of the successful requests in ms, over 100 ms steps (median of the steps).
 	Before, During, After float64               `json:"-"`
 	P99                   map[string]float64    `json:"median_step_p99_ms"`
@@ -86,8 +86,8 @@
 			return runs, errors.Wrapf(err, "zone experiment, %s", variant)
 		}
 		runs = append(runs, run)
-		fmt.Fprintf(progress, "zone: %-21s last new request %d ms, in force %d ms, stopped %d ms, share back %d ms, most cold %d\n  p99 %.1f / %.1f / %.1f ms; ",
-			variant, run.LastNewMillis, run.InForceMillis, run.StoppedMillis, run.ShareMillis, run.MostCold, run.Before, run.During, run.After)
+		fmt.Fprintf(progress, "zone: %-21s last new request %d ms, in force %d ms, stopped %d ms, share back %d ms, beyond cold %d\n  p99 %.1f / %.1f / %.1f ms; ",
+			variant, run.LastNewMillis, run.InForceMillis, run.StoppedMillis, run.ShareMillis, run.MostBeyondCold, run.Before, run.During, run.After)
 		if err := run.Verdict.WriteText(progress); err != nil {
 			return runs, err
 		}
--- a/internal/experiment/zone_load.go
+++ b/internal/experiment/zone_load.go
@@ -156,7 +156,7 @@
 	return nil
 }
 
-// coldWork notes the most requests at once at an upstream of the stopped zone in cold start.
+// coldWork notes by how much an upstream of the stopped zone got more requests at once in cold start than it could bear.
 func (c *Cluster) coldWork(ctx context.Context, run *ZoneRun) error {
 	reports, err := c.reports(ctx, false)
 	if err != nil {
@@ -167,7 +167,7 @@
 			continue
 		}
 		for _, u := range r.Upstreams {
-			run.MostCold = max(run.MostCold, u.Work.MostAtOnceCold)
+			run.MostBeyondCold = max(run.MostBeyondCold, u.Work.MostBeyondCold)
 		}
 	}
 	return nil
--- a/internal/standin/speed.go
+++ b/internal/standin/speed.go
@@ -74,11 +74,16 @@
 	return w.behaviour
 }
 
-// load returns the true load.
+// load returns the true load. The slots are those that the upstream can bear now: fewer in a cold start that it does not
+// hide.
 func (w *work) load() (inflight, slots int, cold bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.executing + len(w.waiting), w.slots, w.cold()
+	slots = w.slots
+	if !w.behaviour.ColdHidden {
+		slots = w.limit()
+	}
+	return w.executing + len(w.waiting), slots, w.cold()
 }
 
 // chanceOf draws with the given percentage.
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -48,6 +48,7 @@
 	MostExecuting   int   `json:"most_executing"`
 	MostAtOnce      int   `json:"most_at_once"`      // executing and queued
 	MostAtOnceCold  int   `json:"most_at_once_cold"` // the same, in cold start
+	MostBeyondCold  int   `json:"most_beyond_cold"`  // the same, less what the upstream could bear at that moment
 	LastNewUnixMS   int64 `json:"last_new_request_unix_ms"`
 	HealthRequests  int   `json:"health_requests"`
 	Crashes         int   `json:"crashes"`
@@ -181,6 +182,7 @@
 	w.counts.MostAtOnce = max(w.counts.MostAtOnce, present)
 	if w.cold() {
 		w.counts.MostAtOnceCold = max(w.counts.MostAtOnceCold, present)
+		w.counts.MostBeyondCold = max(w.counts.MostBeyondCold, present-w.limit())
 	}
 }
 
