gateway: let peers' free slots flow back with forwarded responses, and move waiting requests

Callers spread over the gateways evenly, the upstreams did not, and a gateway could forward only as many requests as a peer's last report named; reports come when the peer's answer changes between some and none, or once a second. Change: the response to a forwarded request renews the report, and a report with free slots moves requests that already wait. Reports are also bounded to five a second. Both new test rows fail without the change.

--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -105,6 +105,16 @@
 	return true
 }
 
+// TakeWaiting removes and returns the waiting request that is due next among those that accept permits, or nil. Its tenant is
+// charged as for a dispatch, because the request is served elsewhere.
+func (s *Scheduler) TakeWaiting(accept func(*Request) bool) *Request {
+	r := s.queue.first(accept)
+	if r != nil {
+		s.queue.serve(r)
+	}
+	return r
+}
+
 // Responded records that the response header of a request arrived while the body is still on its way.
 func (s *Scheduler) Responded(a Assignment, latency time.Duration, report Report, now time.Time) {
 	u := s.upstreams[a.UpstreamID]
--- a/internal/daemon/loads.go
+++ b/internal/daemon/loads.go
@@ -16,6 +16,8 @@
 	loadCheckInterval = 20 * time.Millisecond
 	// loadRepeatInterval is after how long an unchanged report is repeated. It is half of how long peers trust a report.
 	loadRepeatInterval = time.Second
+	// loadMinInterval bounds the reports for each service and peer to five a second, about 0.5 KB/s with all headers.
+	loadMinInterval = 200 * time.Millisecond
 )
 
 // loadReporter tells the peer gateways of a service whether this gateway has free slots. A report is sent when the answer
@@ -53,7 +55,8 @@
 func (l *loadReporter) report(service gateway.ServiceStatus, now time.Time) {
 	free := service.FreeSlots > 0
 	last := l.last[service.Name]
-	if last.free == free && now.Sub(last.at) < loadRepeatInterval {
+	age := now.Sub(last.at)
+	if age < loadMinInterval || last.free == free && age < loadRepeatInterval {
 		return
 	}
 	l.last[service.Name] = sentLoad{at: now, free: free}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -25,6 +25,8 @@
 	headerBootID    = "Bramleypick-Boot-Id"
 	// headerHop marks a request that a peer gateway forwarded.
 	headerHop = "Bramleypick-Hop"
+	// headerFreeSlots is in the response to a forwarded request: how many more the peer could start now.
+	headerFreeSlots = "Bramleypick-Free-Slots"
 )
 
 // maxTries bounds the tries of one request, whether or not anything was sent.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bramleypick/bramleypick/resultcode"
@@ -20,6 +21,7 @@
 	g.metrics.count(c.service.config.Name, "forwards")
 	resp, err := g.deps.Forwarder.Forward(c.ctx, session, r.WithContext(c.ctx))
 	if err == nil {
+		g.renewReport(c, session, resp)
 		return false, g.respondForwarded(c, r, resp)
 	}
 	if c.callerGone() {
@@ -33,6 +35,14 @@
 	return true, nil
 }
 
+// renewReport takes the peer's free slots from its response. It costs no message of its own, and the report is as new as the
+// slot that the forwarded request just left.
+func (g *Gateway) renewReport(c *call, session uint64, resp *http.Response) {
+	if free, err := strconv.Atoi(resp.Header.Get(headerFreeSlots)); err == nil && free >= 0 {
+		g.SetPeerLoad(c.service.config.Name, session, free)
+	}
+}
+
 // respondForwarded passes a peer's answer on, with the code and the replay mark that the peer set.
 func (g *Gateway) respondForwarded(c *call, r *http.Request, resp *http.Response) error {
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -60,6 +60,18 @@
 			return w.do(http.MethodGet, "/desk/level", headerHop, "1")
 		}, 0, resultcode.DeadlineBeforeStart},
 		{"busy, the report is used up", func(w *world) { busy(w); free(w); w.get() }, (*world).get, 1, resultcode.DeadlineBeforeStart},
+		{"busy, a slot of the peer becomes free later", busy, func(w *world) answer {
+			wait := several(1, w.get)
+			free(w)
+			return wait()[0]
+		}, 1, resultcode.OK},
+		{"busy, the peer's response renews the report", func(w *world) {
+			busy(w)
+			w.forwardTo(changed(http.StatusOK, "fine", func(resp *http.Response) { resp.Header.Set(headerFreeSlots, "1") }))
+			free(w)
+			w.get()
+			w.get()
+		}, (*world).get, 3, resultcode.OK},
 		{"busy, a callout", func(w *world) { busy(w); free(w) }, func(w *world) answer { return w.callout("k") }, 1, resultcode.OK},
 		{"nothing owned", func(w *world) { w.peerServes(after(0, http.StatusOK, "fine")) }, (*world).get, 1, resultcode.OK},
 		{"nothing owned, the peer fails", func(w *world) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,14 +1,40 @@
 package gateway
 
-import "time"
+import (
+	"time"
 
-// setPeerLoad records a peer's report.
+	"github.com/bramleypick/bramleypick/admission"
+)
+
+// setPeerLoad records a peer's report, and forwards waiting requests that the peer can start at once.
 func (s *service) setPeerLoad(session uint64, free int, now time.Time) {
-	if s.peerOwners[session] {
-		s.peers[session] = peerLoad{free: free, at: now}
+	if !s.peerOwners[session] {
+		return
+	}
+	s.peers[session] = peerLoad{free: free, at: now}
+	for s.scheduler.Queued() > 0 && s.scheduler.FreeSlots(now) == 0 && s.peers[session].free > 0 {
+		r := s.scheduler.TakeWaiting(func(r *admission.Request) bool { return r.Value.(*waiter).mayForward })
+		if r == nil {
+			return
+		}
+		s.useReport(session)
+		r.Value.(*waiter).grant <- grant{forwardTo: session}
 	}
 }
 
+// useReport counts a forwarded request against the peer's report. The peer's response renews the report, so that forwarding
+// goes on at the rate at which the peer ends requests.
+func (s *service) useReport(session uint64) {
+	load := s.peers[session]
+	load.free--
+	s.peers[session] = load
+}
+
+// spareSlots is how many requests of peers this gateway could start now.
+func (s *service) spareSlots(now time.Time) int {
+	return max(0, s.scheduler.FreeSlots(now)-s.scheduler.Queued())
+}
+
 // forwardTarget returns the peer to forward a request to, or 0. A request is forwarded where no owned upstream has a free
 // slot and a peer reports one. With must, no owned upstream will ever take it; then any peer that owns a usable upstream
 // will do.
@@ -17,10 +43,7 @@
 		return 0
 	}
 	if peer := s.freestPeer(now); peer != 0 {
-		// The report is used up by what is forwarded until the next one arrives.
-		load := s.peers[peer]
-		load.free--
-		s.peers[peer] = load
+		s.useReport(peer)
 		return peer
 	}
 	if !must {
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -43,6 +43,9 @@
 func copyHeader(c *call, from http.Header) {
 	removeHopHeaders(from)
 	to := c.w.Header()
+	if c.forwarded {
+		to.Set(headerFreeSlots, strconv.FormatInt(c.service.runtime.spare.Load(), 10))
+	}
 	for name, values := range from {
 		if !strings.HasPrefix(name, "Bramleypick-") {
 			to[name] = values
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bramleypick/bramleypick/admission"
@@ -30,6 +31,9 @@
 	draining   []draining
 	// queued is the queue length last recorded.
 	queued int
+
+	// spare is spareSlots as of the last poll.
+	spare atomic.Int64
 }
 
 // foreignMargin covers what an upstream may take to notice that a request's deadline has passed.
@@ -139,6 +143,9 @@
 		s.queued = queued
 		s.g.metrics.queue(s.name, queued)
 	}
+	if len(s.peerOwners) > 0 {
+		s.spare.Store(int64(s.spareSlots(now)))
+	}
 	s.notifyDrained()
 	if actions.Wake.IsZero() {
 		timer.Reset(time.Hour)
--- a/internal/gateway/serviceview.go
+++ b/internal/gateway/serviceview.go
@@ -89,7 +89,7 @@
 }
 
 func (s *service) status(now time.Time) ServiceStatus {
-	status := ServiceStatus{Name: s.name, Queued: s.scheduler.Queued(), FreeSlots: s.scheduler.FreeSlots(now)}
+	status := ServiceStatus{Name: s.name, Queued: s.scheduler.Queued(), FreeSlots: s.spareSlots(now)}
 	moving := make(map[string]uint64, len(s.draining))
 	for _, d := range s.draining {
 		moving[d.UpstreamID] = d.MovingTo
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -19,7 +19,7 @@
 type ServiceStatus struct {
 	Name   string
 	Queued int
-	// FreeSlots is how many more requests the owned upstreams could take now.
+	// FreeSlots is how many more requests the owned upstreams could take now, beyond those that wait here.
 	FreeSlots int
 	Upstreams []UpstreamStatus // Sorted by ID; those owned, and those no longer owned that still run requests.
 }
