peernet: close connections that have been silent for the idle timeout

Cause: QUIC keeps a silent connection for three probe timeouts if that is longer than its idle timeout. A response that arrives after a pause of the process makes the probe timeout long: after a freeze of 8 s the dead connections stayed open for 27 s. The resumed gateway got no session in that time, and the requests that it forwarded ran into their deadlines. Change: each connection is watched, and closed when no packet has arrived for idleTimeout. The peer's keep-alives arrive three times in it.

--- a/internal/peernet/network.go
+++ b/internal/peernet/network.go
@@ -103,6 +103,7 @@
 // serve handles the streams that the peer opens on conn, until the connection ends.
 func (n *Network) serve(p *peer, conn *quic.Conn) {
 	n.wg.Go(func() { n.acceptUniStreams(p, conn) })
+	n.wg.Go(func() { n.watch(p, conn) })
 	for {
 		s, err := conn.AcceptStream(n.ctx)
 		if err != nil {
