test/process: lose the disk of a replica that alone holds changes

Cause: the durability case passed with a replica that founds a group anew, so it did not show what it is for. Change: the last changes are on two of three replicas; one loses its disk and the other is killed right after. The third and the replica without its disk together must not lead. Seen: the case fails, 2 of 2 runs: the replica without its disk votes, and the group goes on at version 17 after version 19 was accepted. replog grants votes without checking for a membership (handleVote, handlePreVote).

--- a/test/process/durability_test.go
+++ b/test/process/durability_test.go
@@ -12,8 +12,8 @@
 	"github.com/bramleypick/bramleypick/internal/opclient"
 )
 
-// checkDurability makes changes while the leader is killed again and again. Then the leader loses its disk, and the next
-// leader is killed before the group has recovered.
+// checkDurability makes changes while the leader is killed again and again. Then a replica loses its disk, and the leader is
+// killed before the group has recovered.
 func checkDurability(d *deployment) {
 	const changes, killEvery = 16, 4
 	config := baseConfig()
@@ -31,24 +31,24 @@
 	d.waitSessions(len(d.vms))
 	d.checkConfig(config, last)
 
-	lost := d.leader()
+	// The last changes are on two replicas only. One of them loses its disk, and the other is killed right after.
+	second := d.leader()
+	lost, third := (second+1)%controlReplicas, (second+2)%controlReplicas
+	d.vms[third].Kill()
+	config = d.change(d.change(config, changes, &last), changes+1, &last)
 	d.vms[lost].Kill()
 	d.must(os.RemoveAll(filepath.Join(d.dir, "data", d.vms[lost].Name)))
-	second := d.leader()
-	third := controlReplicas - lost - second
-	d.restart(d.vms[lost])
 	d.vms[second].Kill()
-	// Alone, the replica without its disk must know of no group.
-	d.vms[third].Kill()
-	d.checkNoLeader(lost)
+	d.restart(d.vms[lost])
 	d.restart(d.vms[third])
+	d.checkNoLeader(lost, third)
 	d.restart(d.vms[second])
 	d.waitSessions(len(d.vms))
 	d.checkConfig(config, last)
 
 	// The replica must hold everything again: with it and one other, changes go on.
 	d.vms[third].Kill()
-	config = d.change(config, changes, &last)
+	config = d.change(config, changes+2, &last)
 	d.restart(d.vms[third])
 	d.waitSessions(len(d.vms))
 	d.checkConfig(config, last)
@@ -72,15 +72,18 @@
 	return config
 }
 
-// checkNoLeader watches a VM for several election timeouts. It is alone, so it must not report as a leader.
-func (d *deployment) checkNoLeader(vm int) {
+// checkNoLeader watches VMs for several election timeouts. None may lead: together they do not hold all accepted changes, and
+// the replica without its disk must neither vote nor found a group.
+func (d *deployment) checkNoLeader(vms ...int) {
 	d.t.Helper()
-	alone := opclient.New([]string{d.address(vm, operatorPort)}, d.token)
-	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	for ctx.Err() == nil {
-		if report, err := alone.Status(ctx); err == nil {
-			d.t.Fatalf("%s has no disk content and no peers, and reports as leader: %+v", d.vms[vm].Name, report)
+		for _, vm := range vms {
+			one := opclient.New([]string{d.address(vm, operatorPort)}, d.token)
+			if report, err := one.Status(ctx); err == nil {
+				d.t.Fatalf("%s leads a group without all accepted changes, at version %d: %+v", report.Leader, report.ConfigVersion, report.Replicas)
+			}
 		}
 	}
 }
