--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -107,7 +107,7 @@
 	return filepath.Join(s.DataDir, "control")
 }
 
-// stop gives leadership up, so that the others need no election, and closes the log.
+// stop closes the log. Leadership is not handed over: if this replica leads, the others elect a leader within about a second.
 func (r *replica) stop() error {
 	return errors.Wrap(r.node.Stop(), "stop the control replica")
 }
