peernet: tell peers when the network closes

Cause: closing the QUIC transport sends nothing, so after each graceful stop the peers took the connections for alive until the idle timeout of 1.5 s, and their calls and forwarded requests in that time were lost. Change: Close closes each connection with a message to the peer first. After: the peer's error is the close that the stopping side sent.

--- a/internal/peernet/network.go
+++ b/internal/peernet/network.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -21,8 +23,9 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
-	mu    sync.Mutex
+	mu    sync.Mutex // guards peers and conns
 	peers map[string]*peer
+	conns map[*quic.Conn]struct{} // open connections
 }
 
 // Listen opens the socket and starts to serve peers.
@@ -45,7 +48,7 @@
 		return nil, errors.Wrap(err, "listen for peers")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Network{cfg: cfg, handler: handler, udp: udp, tr: tr, listener: listener, ctx: ctx, cancel: cancel, peers: make(map[string]*peer)}
+	n := &Network{cfg: cfg, handler: handler, udp: udp, tr: tr, listener: listener, ctx: ctx, cancel: cancel, peers: make(map[string]*peer), conns: make(map[*quic.Conn]struct{})}
 	for name, address := range cfg.Peers {
 		n.addPeer(name, address)
 	}
@@ -62,10 +65,17 @@
 // Address returns the address the network listens on.
 func (n *Network) Address() string { return n.udp.LocalAddr().String() }
 
-// Close closes every connection and waits until all handlers have returned.
+// Close closes every connection and waits until all handlers have returned. Peers are told, so that they do not wait for the
+// idle timeout.
 func (n *Network) Close() error {
 	n.cancel()
 	n.listener.Close()
+	n.mu.Lock()
+	open := slices.Collect(maps.Keys(n.conns))
+	n.mu.Unlock()
+	for _, conn := range open {
+		conn.CloseWithError(0, "closed")
+	}
 	n.tr.Close()
 	err := n.udp.Close()
 	n.wg.Wait()
@@ -102,10 +112,18 @@
 
 // serve handles the streams that the peer opens on conn, until the connection ends.
 func (n *Network) serve(p *peer, conn *quic.Conn) {
+	n.mu.Lock()
+	n.conns[conn] = struct{}{}
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.conns, conn)
+	}()
 	n.wg.Go(func() { n.acceptUniStreams(p, conn) })
 	n.wg.Go(func() { n.watch(p, conn) })
 	for {
-		s, err := conn.AcceptStream(n.ctx)
+		s, err := conn.AcceptStream(conn.Context())
 		if err != nil {
 			p.drop(conn)
 			return
--- a/internal/peernet/network_test.go
+++ b/internal/peernet/network_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/internal/keys"
@@ -211,3 +212,24 @@
 		})
 	}
 }
+
+// Guards against peers that learn of a graceful stop only by the idle timeout, during which their calls are lost.
+func TestNetworkCloseTellsPeers(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	a := newAuthority(t)
+	server, _ := listen(t, "vm1", a.tls("vm1"), map[string]string{"vm2": loopback})
+	client, _ := listen(t, "vm2", a.tls("vm2"), map[string]string{"vm1": server.Address()})
+	s, err := client.OpenStream(ctx, "vm1")
+	is.NoErr(err)
+	_, err = s.Write([]byte("body"))
+	is.NoErr(err)
+	_, err = io.ReadFull(s, make([]byte, 4))
+	is.NoErr(err)
+	is.NoErr(server.Close())
+	_, err = s.Read(make([]byte, 1))
+	var told *quic.ApplicationError
+	is.True(errors.As(err, &told))
+	is.True(told.Remote)
+}
