--- a/cmd/bramleypick/run.go
+++ b/cmd/bramleypick/run.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/internal/daemon"
 	"github.com/bramleypick/bramleypick/internal/settings"
@@ -34,18 +32,3 @@
 		},
 	}
 }
-
-func newLog(s settings.Settings) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	level, err := zap.ParseAtomicLevel(s.Log.Level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log level")
-	}
-	config.Level = level
-	config.Sampling = nil
-	log, err := config.Build()
-	if err != nil {
-		return nil, errors.Wrap(err, "log")
-	}
-	return log.With(zap.String("vm", s.Name), zap.String("zone", s.Zone)), nil
-}
