--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -204,3 +204,21 @@
 	b.set(owned("u"), owned("v"))
 	is.Equal(len(b.running["v"]), 1)
 }
+
+// Guards against an upstream staying at the few slots that it reports in its cold start after it has warmed up, and getting more
+// than it reports meanwhile.
+func TestReportedSlotsRise(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, testConfig(), owned("u"))
+	b.fill(200)
+	serve := func(n, slots int) {
+		for range n {
+			b.end("u", Outcome{Result: Succeeded, Latency: 4 * time.Millisecond, Report: Report{BootID: "boot-1", HasLoad: true, Slots: slots}})
+			is.True(len(b.running["u"]) <= slots)
+		}
+	}
+	serve(fullWarm, 1)
+	serve(1, 2)
+	serve(fullWarm, 3)
+	is.Equal(len(b.running["u"]), 3)
+}
