--- a/admission/coldstart_test.go
+++ b/admission/coldstart_test.go
@@ -205,6 +205,21 @@
 	is.Equal(len(b.running["v"]), 1)
 }
 
+// Guards against an upstream that announces more slots than before staying at the former number.
+func TestAnnouncedSlotsRise(t *testing.T) {
+	is := is.New(t)
+	u := owned("u")
+	u.Slots = 1
+	b := newBench(t, testConfig(), u)
+	b.fill(200)
+	b.work("u", fullWarm)
+	is.Equal(len(b.running["u"]), 1)
+	u.Slots = 3
+	b.set(u)
+	b.work("u", fullWarm)
+	is.Equal(len(b.running["u"]), 3)
+}
+
 // Guards against an upstream staying at the few slots that it reports in its cold start after it has warmed up, and getting more
 // than it reports meanwhile.
 func TestReportedSlotsRise(t *testing.T) {
--- a/admission/ramp.go
+++ b/admission/ramp.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// extend lets the ramp go on where the upstream has more slots than before.
+func (r *ramp) extend(slots int) {
+	r.warm = r.warm && r.limit >= slots
+}
+
 // full lifts the limit to the slots of an upstream that a former owner had warmed up.
 func (r *ramp) full(slots int) {
 	r.limit, r.completed = max(r.limit, slots), 0
--- a/admission/setupstreams.go
+++ b/admission/setupstreams.go
@@ -56,6 +56,7 @@
 	restarted := info.BootID != u.info.BootID && info.BootID != u.bootID
 	if info.Slots != u.info.Slots {
 		u.slots = info.Slots
+		u.ramp.extend(info.Slots)
 	}
 	if restarted {
 		s.restarted(u, info.BootID)
