gateway: report a request that reached no peer as not run

Cause: a failed dial to a dead peer gateway was answered with 2001 outcome_unknown, although nothing had been sent, so callers had to treat a callout as possibly run. Change: the forwarder says when certainly nothing was sent; the request is tried again here and otherwise refused as 1010. The new test row fails without it.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/gateway"
 	"github.com/bramleypick/bramleypick/internal/peernet"
 )
 
@@ -28,11 +29,11 @@
 func (f forwarder) Forward(ctx context.Context, sessionID uint64, r *http.Request) (*http.Response, error) {
 	view := f.view()
 	if view == nil || view.Session(sessionID) == nil {
-		return nil, errors.Errorf("session %d is not known", sessionID)
+		return nil, errors.WithMessagef(gateway.ErrNotForwarded, "session %d is not known", sessionID)
 	}
 	s, err := f.network.OpenStream(ctx, view.Session(sessionID).Gateway)
 	if err != nil {
-		return nil, err
+		return nil, errors.WithMessage(gateway.ErrNotForwarded, err.Error())
 	}
 	stop := context.AfterFunc(ctx, s.Abort)
 	if err := r.Write(s); err != nil {
--- a/internal/gateway/dependencies.go
+++ b/internal/gateway/dependencies.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -29,6 +30,9 @@
 	SessionID() uint64
 }
 
+// ErrNotForwarded is returned by a Forwarder that certainly sent nothing, because the peer could not be reached.
+var ErrNotForwarded = errors.New("gateway: not forwarded")
+
 // Forwarder sends a request to a peer gateway. The peer does not forward it again.
 type Forwarder interface {
 	Forward(ctx context.Context, sessionID uint64, r *http.Request) (*http.Response, error)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -27,6 +29,13 @@
 	if c.callerGone() {
 		return false, errCallerGone
 	}
+	if errors.Is(err, ErrNotForwarded) {
+		g.SetPeerLoad(c.service.config.Name, session, 0) // Not again before its next report.
+		if c.tries < maxTries && c.ctx.Err() == nil {
+			return true, nil
+		}
+		return false, resultcode.Errorf(resultcode.NoUpstream, "no peer gateway could be reached")
+	}
 	failure := resultcode.Errorf(resultcode.OutcomeUnknown, "forward to a peer gateway: %v", err)
 	c.mayHaveRun(failure)
 	if c.ctx.Err() != nil || !c.class.Idempotent || !c.service.runtime.retries.Take(time.Now()) {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -77,6 +77,9 @@
 		{"nothing owned, the peer fails", func(w *world) {
 			w.peerServes(fails(0, errors.New("stream broken")))
 		}, func(w *world) answer { return w.callout("k") }, 1, resultcode.OutcomeUnknown},
+		{"nothing owned, the peer cannot be reached", func(w *world) {
+			w.peerServes(fails(0, errors.WithMessage(ErrNotForwarded, "dial")))
+		}, func(w *world) answer { return w.callout("k") }, maxTries, resultcode.NoUpstream},
 		{"nothing owned, the peer fails an idempotent request", func(w *world) {
 			w.peerServes(fails(0, errors.New("stream broken")))
 		}, (*world).get, 1, resultcode.OutcomeUnknown},
