settings: remove limits that nothing used, and let configurations of the allowed size into the log

max_body_bytes, max_announcement_bytes and max_config_bytes were validated and then ignored. A configuration may have 4 MiB, while the replicated log took entries of 1 MiB.

--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -128,7 +128,7 @@
 		}
 	}
 	node, err := controlnode.Start(controlnode.Config{
-		ID: replog.NodeID(s.NodeID), Dir: dataDir(s),
+		ID: replog.NodeID(s.NodeID), Dir: dataDir(s), MaxMessageBytes: controlstate.MaxCommandBytes,
 	}, machine, replicaTransport{network: d.network, names: names, log: d.log.Named("replog")})
 	if err != nil {
 		return errors.Wrap(err, "start the control replica")
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -5,10 +5,7 @@
 	DefaultLogLevel              = "info"
 	DefaultSessionTTLMillis      = 3000
 	DefaultRenewIntervalMillis   = 400
-	DefaultMaxBodyBytes          = 64 << 20
 	DefaultMaxHeaderBytes        = 64 << 10
-	DefaultMaxAnnouncementBytes  = 4 << 10
-	DefaultMaxConfigBytes        = 8 << 20
 	DefaultMaxCallerConnections  = 10000
 	DefaultShutdownTimeoutMillis = 600000
 )
@@ -18,10 +15,7 @@
 	setDefault(&s.Log.Level, DefaultLogLevel)
 	setDefault(&s.SessionTTLMillis, DefaultSessionTTLMillis)
 	setDefault(&s.RenewIntervalMillis, DefaultRenewIntervalMillis)
-	setDefault(&s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&s.Limits.MaxHeaderBytes, DefaultMaxHeaderBytes)
-	setDefault(&s.Limits.MaxAnnouncementBytes, DefaultMaxAnnouncementBytes)
-	setDefault(&s.Limits.MaxConfigBytes, DefaultMaxConfigBytes)
 	setDefault(&s.Limits.MaxCallerConnections, DefaultMaxCallerConnections)
 	setDefault(&s.Limits.ShutdownTimeoutMillis, DefaultShutdownTimeoutMillis)
 	return s
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,15 +81,8 @@
 
 // Limits bound the memory and connections of the process.
 type Limits struct {
-	// MaxBodyBytes bounds the body of any request, in bytes; classes may set a lower bound. Default 64 MiB; zero means the
-	// default.
-	MaxBodyBytes int64 `json:"max_body_bytes,omitempty"`
 	// MaxHeaderBytes bounds the header of a request, in bytes. Default 64 KiB; zero means the default.
 	MaxHeaderBytes int `json:"max_header_bytes,omitempty"`
-	// MaxAnnouncementBytes bounds the body of an upstream's announcement, in bytes. Default 4 KiB; zero means the default.
-	MaxAnnouncementBytes int64 `json:"max_announcement_bytes,omitempty"`
-	// MaxConfigBytes bounds the body of a configuration change, in bytes. Default 8 MiB; zero means the default.
-	MaxConfigBytes int64 `json:"max_config_bytes,omitempty"`
 	// MaxCallerConnections bounds the open connections on CallerAddress. Default 10000; zero means the default.
 	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
 	// ShutdownTimeoutMillis bounds a graceful shutdown, in ms. Default 600000, which outlasts long downloads; zero means the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -60,7 +60,7 @@
 		{"log level", `"token"}`, `"token", "log": {"level": "loud"}}`, "log.level"},
 		{"session TTL", `"token"}`, `"token", "session_ttl_ms": 60001}`, "session_ttl_ms"},
 		{"too few renewals for each TTL", `"token"}`, `"token", "renew_interval_ms": 1001}`, "renew_interval_ms"},
-		{"negative limit", `"token"}`, `"token", "limits": {"max_body_bytes": -1}}`, "limits.max_body_bytes"},
+		{"negative limit", `"token"}`, `"token", "limits": {"max_header_bytes": -1}}`, "limits.max_header_bytes"},
 		{"several", `"name": "vm1", "zone": "bergamo"`, `"name": "", "zone": "", "x": 1`, "x name zone"},
 	} {
 		t.Run(test.description, func(t *testing.T) {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -40,10 +40,7 @@
 	v.within("session_ttl_ms", int64(s.SessionTTLMillis), minSessionTTLMillis, maxSessionTTLMillis)
 	v.within("renew_interval_ms", int64(s.RenewIntervalMillis), minRenewMillis,
 		max(minRenewMillis, int64(s.SessionTTLMillis)/renewalsPerTTL))
-	v.within("limits.max_body_bytes", s.Limits.MaxBodyBytes, 1, maxBytes)
 	v.within("limits.max_header_bytes", int64(s.Limits.MaxHeaderBytes), 1024, 16<<20)
-	v.within("limits.max_announcement_bytes", s.Limits.MaxAnnouncementBytes, 256, 1<<20)
-	v.within("limits.max_config_bytes", s.Limits.MaxConfigBytes, 1024, 1<<30)
 	v.within("limits.max_caller_connections", int64(s.Limits.MaxCallerConnections), 1, maxCallerConnections)
 	v.within("limits.shutdown_timeout_ms", int64(s.Limits.ShutdownTimeoutMillis), 1, maxShutdownMillis)
 	return v.faults.asError()
