daemon, experiment, settings: ask the schedulers less, drop a second process type, refuse control-only VMs

Cause: idle VMs spent 2.2 to 5.3 % of a core, more with services than with upstreams: hand-over and load reports asked every scheduler for its status 100 times a second. Change: load reports read the free slots of the last poll, and the hand-over asks only while an upstream is to be handed over. A VM with the role control alone was accepted and ran the data path all the same.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,8 +109,9 @@
 	}
 	d.upstreams.inFlight = func(upstreamID string) int { return requestsAt(d.gateway.Status(), upstreamID) }
 	d.handover = newHandover(d.client, d.session.Lease(), d.gateway.Status, d.log.Named("handover"))
+	d.handover.needed = func() bool { return handsOver(view(), d.session.Lease().SessionID()) }
 	d.loads = &loadReporter{
-		network: d.network, lease: d.session.Lease(), view: view, status: d.gateway.Status, last: make(map[string]sentLoad),
+		network: d.network, lease: d.session.Lease(), view: view, spare: d.gateway.SpareSlots, last: make(map[string]sentLoad),
 	}
 	return d.listen(token)
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,9 @@
 	status func() gateway.Status
 	log    *zap.Logger
 	since  map[handoverKey]time.Time
+	// needed tells whether an upstream is to be handed over; nil for always. Asking the gateway for its status in each round
+	// would wake the scheduler of every service 50 times a second.
+	needed func() bool
 }
 
 // handoverKey is one assignment that shall end.
@@ -49,6 +53,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if h.needed != nil && !h.needed() {
+				continue
+			}
 			for _, release := range h.due(now) {
 				h.release(ctx, release)
 			}
@@ -56,6 +63,16 @@
 	}
 }
 
+// handsOver tells whether a session shall give up an upstream.
+func handsOver(view *controlstate.View, sessionID uint64) bool {
+	if view == nil {
+		return false
+	}
+	return slices.ContainsFunc(view.Upstreams, func(u controlstate.UpstreamInfo) bool {
+		return u.Owner == sessionID && u.MovingTo != 0
+	})
+}
+
 // due returns the releases that are due: nothing of this gateway is in flight, or the patience ran out. A release reports
 // the requests of former owners too, because the next owner must count them as long as they may run.
 func (h *handover) due(now time.Time) []controlstate.Release {
--- a/internal/daemon/loads.go
+++ b/internal/daemon/loads.go
@@ -28,7 +28,7 @@
 	network *peernet.Network
 	lease   *lease.Holder
 	view    func() *controlstate.View
-	status  func() gateway.Status
+	spare   func() []gateway.SpareSlots
 	last    map[string]sentLoad
 }
 
@@ -46,31 +46,31 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, service := range l.status().Services {
+			for _, service := range l.spare() {
 				l.report(service, now)
 			}
 		}
 	}
 }
 
-func (l *loadReporter) report(service gateway.ServiceStatus, now time.Time) {
-	free := service.FreeSlots > 0
-	last := l.last[service.Name]
+func (l *loadReporter) report(service gateway.SpareSlots, now time.Time) {
+	free := service.Free > 0
+	last := l.last[service.Service]
 	age := now.Sub(last.at)
 	if age < loadMinInterval || last.free == free && age < loadRepeatInterval {
 		return
 	}
-	l.last[service.Name] = sentLoad{at: now, free: free}
+	l.last[service.Service] = sentLoad{at: now, free: free}
 	view := l.view()
 	if view == nil {
 		return
 	}
-	data, err := controlproto.Encode(controlproto.Load{Service: service.Name, SessionID: l.lease.SessionID(), FreeSlots: service.FreeSlots})
+	data, err := controlproto.Encode(controlproto.Load{Service: service.Service, SessionID: l.lease.SessionID(), FreeSlots: service.Free})
 	if err != nil {
 		return
 	}
 	message := append([]byte{byte(messageLoad)}, data...)
-	for _, info := range controlstate.GatewaysFor(view, service.Name) {
+	for _, info := range controlstate.GatewaysFor(view, service.Service) {
 		if info.SessionID != l.lease.SessionID() {
 			l.network.Send(info.Gateway, message)
 		}
--- a/internal/experiment/changes.go
+++ b/internal/experiment/changes.go
@@ -75,8 +75,8 @@
 // killAndRestart kills the VMs in turn, control replicas and leader among them.
 func (c *Cluster) killAndRestart(turn int) error {
 	p := c.vms[turn%len(c.vms)]
-	p.kill()
-	return p.restart()
+	p.Kill()
+	return p.Restart()
 }
 
 func (c *Cluster) change(ctx context.Context, config dynconfig.Config, base uint64, highest map[string]uint64, run *ChangesRun) (accepted, inForce time.Duration, err error) {
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -38,7 +38,7 @@
 type Cluster struct {
 	programs Programs
 	plan     localdeploy.Plan
-	vms      []*Process
+	vms      []*localdeploy.Process
 	standins []*standinProcess
 	operator *opclient.Client
 	token    string
@@ -81,7 +81,7 @@
 	}
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), ".json")
-		p, err := start(name, strings.TrimSuffix(file, ".json")+".log", c.programs.Bramleypick, "run", "--settings", file)
+		p, err := localdeploy.StartProcess(name, strings.TrimSuffix(file, ".json")+".log", c.programs.Bramleypick, "run", "--settings", file)
 		if err != nil {
 			return err
 		}
@@ -102,10 +102,10 @@
 // close ends every process. Errors are not of interest: an experiment that needs a graceful stop checks it itself.
 func (c *Cluster) close() {
 	for _, s := range c.standins {
-		s.process.kill()
+		s.process.Kill()
 	}
 	for _, p := range c.vms {
-		p.kill()
+		p.Kill()
 	}
 }
 
@@ -164,9 +164,9 @@
 }
 
 // vm returns the process of a VM by its name in status reports.
-func (c *Cluster) vm(name string) *Process {
+func (c *Cluster) vm(name string) *localdeploy.Process {
 	for _, p := range c.vms {
-		if p.name == name {
+		if p.Name == name {
 			return p
 		}
 	}
@@ -174,7 +174,7 @@
 }
 
 // leader returns the process of the control group's leader.
-func (c *Cluster) leader(ctx context.Context) (*Process, error) {
+func (c *Cluster) leader(ctx context.Context) (*localdeploy.Process, error) {
 	report, err := c.operator.Status(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/experiment/cost.go
+++ b/internal/experiment/cost.go
@@ -95,8 +95,8 @@
 	run.ProbesPerUpstream = float64(after.probes-before.probes) / perUpstream
 	run.BytesPerUpstream = (after.bytes - before.bytes) / perUpstream
 	for i := range c.vms {
-		percent := 100 * (after.usages[i].cpu - before.usages[i].cpu).Seconds() / costWindow.Seconds()
-		megabytes := float64(after.usages[i].rss) / 1e6
+		percent := 100 * (after.usages[i].CPU - before.usages[i].CPU).Seconds() / costWindow.Seconds()
+		megabytes := float64(after.usages[i].RSS) / 1e6
 		if i < c.plan.ControlReplicas {
 			run.ControlCPUPercent += percent / float64(c.plan.ControlReplicas)
 			run.ControlMegabytes += megabytes / float64(c.plan.ControlReplicas)
@@ -112,7 +112,7 @@
 type costCounters struct {
 	probes int
 	bytes  float64
-	usages []usage
+	usages []localdeploy.Usage
 }
 
 func (c *Cluster) costCounters(ctx context.Context) (costCounters, error) {
@@ -127,7 +127,7 @@
 		}
 	}
 	for _, p := range c.vms {
-		u, err := p.usage()
+		u, err := p.Usage()
 		if err != nil {
 			return counters, err
 		}
--- a/internal/experiment/rolling.go
+++ b/internal/experiment/rolling.go
@@ -72,15 +72,15 @@
 func (c *Cluster) restartAll(ctx context.Context, run *RollingRun) error {
 	deadline := time.Now().Add(rollingRunTime)
 	for _, p := range c.vms {
-		if err := p.stop(stopTimeout); err != nil {
+		if err := p.Stop(stopTimeout); err != nil {
 			return err
 		}
-		if err := p.restart(); err != nil {
+		if err := p.Restart(); err != nil {
 			return err
 		}
-		err := c.waitForStatus(ctx, p.name+" has a session again", func(r controlproto.Report) bool {
+		err := c.waitForStatus(ctx, p.Name+" has a session again", func(r controlproto.Report) bool {
 			for _, g := range r.Gateways {
-				if g.Name == p.name && !g.Leaving {
+				if g.Name == p.Name && !g.Leaving {
 					return true
 				}
 			}
--- a/internal/experiment/standins.go
+++ b/internal/experiment/standins.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
 	"github.com/bramleypick/bramleypick/internal/standin"
 )
 
@@ -29,7 +30,7 @@
 // standinProcess is a process of test upstreams.
 type standinProcess struct {
 	group   upstreamGroup
-	process *Process
+	process *localdeploy.Process
 	admin   string
 }
 
@@ -47,7 +48,7 @@
 			args = append(args, "--entry", c.addresses(callerOffset)[(i+len(c.standins))%len(c.vms)])
 		}
 		name := "standin-" + g.service + "-" + g.zone
-		p, err := start(name, filepath.Join(c.plan.Dir, name+".log"), append(args, g.flags...)...)
+		p, err := localdeploy.StartProcess(name, filepath.Join(c.plan.Dir, name+".log"), append(args, g.flags...)...)
 		if err != nil {
 			return err
 		}
--- a/internal/experiment/zone.go
+++ b/internal/experiment/zone.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -190,13 +191,13 @@
 		if err != nil {
 			return err
 		}
-		leader.kill()
+		leader.Kill()
 	case ZoneGatewayKilled:
-		c.vm(stoppedZoneGateway).kill()
+		c.vm(stoppedZoneGateway).Kill()
 	case ZoneGatewayFrozen:
 		p := c.vm(stoppedZoneGateway)
-		p.freeze()
-		time.AfterFunc(zoneFreeze, p.thaw)
+		p.Signal(syscall.SIGSTOP)
+		time.AfterFunc(zoneFreeze, func() { p.Signal(syscall.SIGCONT) })
 	}
 	return nil
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -43,6 +43,23 @@
 	Ejected bool
 }
 
+// SpareSlots is how many requests of peers a service could start.
+type SpareSlots struct {
+	Service string
+	Free    int
+}
+
+// SpareSlots returns the free slots of all services as of their last change, without asking their schedulers.
+func (g *Gateway) SpareSlots() []SpareSlots {
+	g.viewMu.Lock()
+	defer g.viewMu.Unlock()
+	spare := make([]SpareSlots, 0, len(g.services))
+	for name, s := range g.services {
+		spare = append(spare, SpareSlots{Service: name, Free: int(s.spare.Load())})
+	}
+	return spare
+}
+
 // Status returns what the gateway holds now. It also notices a new session, so it is to be called every second or so.
 func (g *Gateway) Status() Status {
 	g.refresh()
--- a/internal/localdeploy/process.go
+++ b/internal/localdeploy/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -53,6 +54,23 @@
 	<-p.done
 }
 
+// Stop asks the process to stop gracefully, also if it is frozen, and kills it after the timeout. It returns an error unless the
+// process ended in time and with status 0.
+func (p *Process) Stop(timeout time.Duration) error {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(timeout):
+		p.Kill()
+		return errors.Errorf("%s did not stop within %v", p.Name, timeout)
+	}
+	if code := p.ExitCode(); code != 0 {
+		return errors.Errorf("%s stopped with status %d", p.Name, code)
+	}
+	return nil
+}
+
 // Ended tells whether the process has ended.
 func (p *Process) Ended() bool {
 	select {
--- /dev/null
+++ b/internal/localdeploy/usage.go
@@ -0,0 +1,43 @@
+package localdeploy
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// clockTick is the unit of the processor times in /proc, which is 10 ms on Linux.
+const clockTick = 10 * time.Millisecond
+
+// Usage is the processor time and memory that a process used.
+type Usage struct {
+	CPU time.Duration
+	// RSS is the resident memory, in bytes.
+	RSS int64
+}
+
+// Usage returns what the process has used so far.
+func (p *Process) Usage() (Usage, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "process usage")
+	}
+	// The second field is the program's name in parentheses and may hold spaces.
+	fields := bytes.Fields(data[bytes.LastIndexByte(data, ')')+1:])
+	const user, system, resident = 11, 12, 21
+	if len(fields) <= resident {
+		return Usage{}, errors.New("process usage: too few fields")
+	}
+	number := func(i int) int64 {
+		n, _ := strconv.ParseInt(string(fields[i]), 10, 64)
+		return n
+	}
+	return Usage{
+		CPU: time.Duration(number(user)+number(system)) * clockTick,
+		RSS: number(resident) * int64(os.Getpagesize()),
+	}, nil
+}
--- a/internal/settings/validate_vms.go
+++ b/internal/settings/validate_vms.go
@@ -36,6 +36,10 @@
 			v.faults.add(path, string(r), "each role once")
 		}
 	}
+	if len(s.Roles) > 0 && !s.HasRole(RoleGateway) {
+		// A process without the data path would have no view of the control state, which the operator API needs.
+		v.faults.add("roles", string(s.Roles[0]), "gateway on every VM, and control besides")
+	}
 	if !s.HasRole(RoleControl) {
 		if s.NodeID != 0 {
 			v.faults.add("node_id", s.NodeID, "nothing without the role control")
