experiment: compare confirmed versions of a gateway's newest session only

The first run counted 1060 reverted versions: the session of a killed process stays in the report at its last version until its lease runs out, next to the new session of the same VM.

--- a/internal/experiment/changes.go
+++ b/internal/experiment/changes.go
@@ -95,7 +95,7 @@
 	}
 	answered := time.Now()
 	err = c.waitForStatus(ctx, "in force", func(r controlproto.Report) bool {
-		for _, g := range r.Gateways {
+		for _, g := range newestSessions(r.Gateways) {
 			if g.ConfigVersion != 0 && g.ConfigVersion < highest[g.Name] {
 				run.Reverted++
 			}
@@ -106,6 +106,16 @@
 	return answered.Sub(began), time.Since(answered), err
 }
 
+// newestSessions leaves out the sessions of processes that were killed and have a newer one: they stay at their last version until
+// their leases run out.
+func newestSessions(gateways []controlproto.GatewayReport) []controlproto.GatewayReport {
+	newest := make(map[string]uint64)
+	for _, g := range gateways {
+		newest[g.Name] = max(newest[g.Name], g.SessionID)
+	}
+	return slices.DeleteFunc(slices.Clone(gateways), func(g controlproto.GatewayReport) bool { return g.SessionID < newest[g.Name] })
+}
+
 // applyUntilAnswered resends a change with the same id until an answer comes.
 func (c *Cluster) applyUntilAnswered(ctx context.Context, change api.ConfigChange) (api.Accepted, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
