--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -163,6 +163,7 @@
 	p.line("Times in ms, from the acceptance of the stop or the return. Not run and uncertain count the callers' final outcomes after up to three")
 	p.line("resends; doubled and lost count idempotency keys. p99: median of the p99 of 100 ms steps before, during and after. Beyond cold: most")
 	p.line("requests at once at an upstream in cold start, less what it could bear at that moment (%d right after its start, rising with work).", zoneColdSlots)
+	p.line("Stopped -1: not before the return, because requests of the lost gateway may run until the longest class timeout (12 s) has passed.")
 	p.line("")
 	p.line("![zone departure](zone.svg)")
 	p.line("")
