--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -130,7 +130,7 @@
 			}
 			return err
 		}},
-		{"tail-wide", false, tail("tail-wide", 1500*time.Microsecond, 1)},
+		{"tail-wide", false, tail("tail-wide", 1500*time.Microsecond, 1, 2, 3)},
 	}
 }
 
