--- /dev/null
+++ b/balancing/candidate.go
@@ -0,0 +1,18 @@
+package balancing
+
+import "time"
+
+// Candidate is an upstream that may get a request now.
+type Candidate struct {
+	ID, Address, Zone string
+	// Estimate is the expected time until its answer.
+	Estimate time.Duration
+	// Age is the age of the load that the estimate is based on.
+	Age time.Duration
+	// Suspect tells that requests failed there recently.
+	Suspect bool
+	Cold    bool
+}
+
+// Fresh tells whether the load is recent enough to send without asking first.
+func (c Candidate) Fresh() bool { return c.Age <= FreshFor }
--- /dev/null
+++ b/balancing/service.go
@@ -0,0 +1,234 @@
+package balancing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// initialWork is the estimate of the work of a request before any was answered.
+	initialWork = 100 * time.Millisecond
+	// workGain and paceGain are the weights of a new sample in the running means.
+	workGain = 0.05
+	paceGain = 0.02
+	// defaultRoundTrip is assumed to upstreams in other zones until it was measured.
+	defaultRoundTrip = 2 * time.Millisecond
+)
+
+// Config configures a Service.
+type Config struct {
+	// ColdPerSecond is how many requests per second this gateway may send to a cold upstream that is its share.
+	ColdPerSecond float64
+}
+
+// Service is the state of one service.
+type Service struct {
+	cfg     Config
+	targets map[string]*target
+	// work is the mean duration of a request on an undisturbed upstream, and deviation its mean absolute deviation.
+	work, deviation time.Duration
+	meanPace        float64
+}
+
+// New returns a service without upstreams.
+func New() *Service {
+	return &Service{targets: make(map[string]*target), work: initialWork, deviation: initialWork / 4, meanPace: 1}
+}
+
+// Configure replaces the configuration.
+func (s *Service) Configure(cfg Config) { s.cfg = cfg }
+
+// SetUpstreams replaces the upstreams that may get requests. State of those that stay is kept.
+func (s *Service) SetUpstreams(upstreams []Upstream, now time.Time) {
+	next := make(map[string]*target, len(upstreams))
+	for _, u := range upstreams {
+		t := s.targets[u.ID]
+		if t == nil || t.Born != u.Born || t.Address != u.Address {
+			// An upstream that has just been announced gets no cold allowance for the time before.
+			t = &target{Upstream: u, coldAt: now}
+		} else {
+			until := t.ColdUntil
+			t.Upstream = u
+			if until.After(u.ColdUntil) {
+				t.ColdUntil = until // its own word is newer than the registry's
+			}
+		}
+		next[u.ID] = t
+	}
+	s.targets = next
+}
+
+// Len returns the number of upstreams.
+func (s *Service) Len() int { return len(s.targets) }
+
+// Rank returns the upstreams that may get a request now, the best first. Those that failed recently come last; then
+// comfortable ones in the own zone come first; then the shortest estimate decides.
+func (s *Service) Rank(p Preferences, now time.Time) []Candidate {
+	ranked := make([]Candidate, 0, len(s.targets))
+	for _, t := range s.targets {
+		if p.excludes(t.ID) || t.moved || now.Before(t.away) {
+			continue
+		}
+		cold := t.cold(now)
+		if cold && s.cfg.ColdPerSecond > 0 && (!t.ColdShare || t.coldAllowance(now, s.cfg.ColdPerSecond) < 1) {
+			continue
+		}
+		ranked = append(ranked, Candidate{
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
+			Age: s.age(t, now), Suspect: t.failureScore(now) > suspectScore,
+		})
+	}
+	slices.SortFunc(ranked, func(a, b Candidate) int { return compare(a, b, p) })
+	return ranked
+}
+
+func (s *Service) age(t *target, now time.Time) time.Duration {
+	if t.loadAt.IsZero() {
+		return time.Hour
+	}
+	return now.Sub(t.loadAt)
+}
+
+func compare(a, b Candidate, p Preferences) int {
+	return cmp.Or(
+		boolOrder(a.Suspect, b.Suspect),
+		-boolOrder(a.Zone == p.Zone && p.comfortable(a.Estimate), b.Zone == p.Zone && p.comfortable(b.Estimate)),
+		cmp.Compare(a.Estimate, b.Estimate),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// estimate returns the expected time until the answer to a request sent now.
+func (s *Service) estimate(t *target, p Preferences, now time.Time) time.Duration {
+	slots, occupied := t.slots(), t.occupied(now)
+	work := float64(s.work) * t.pace(now, s.meanPace)
+	if t.cold(now) {
+		work *= coldFactor
+	}
+	if float64(occupied+1) > kneeShare*float64(slots) {
+		work *= kneeFactor
+	}
+	if occupied >= slots {
+		work *= 1 + float64(occupied-slots+1)/float64(slots)
+	} else {
+		work *= 1 + 0.1*float64(occupied)/float64(slots) // spreads equal ones
+	}
+	roundTrip := t.roundTrip
+	if roundTrip == 0 && t.Zone != p.Zone {
+		roundTrip = defaultRoundTrip
+	}
+	return time.Duration(work) + roundTrip
+}
+
+// Begin records that a request is being sent.
+func (s *Service) Begin(id string, now time.Time) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.inflight++
+	t.sentSince++
+	if t.cold(now) {
+		t.coldAllowance(now, s.cfg.ColdPerSecond)
+		t.coldTokens--
+	}
+}
+
+// End records how a request ended after took.
+func (s *Service) End(id string, outcome Outcome, took time.Duration, now time.Time) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.inflight = max(0, t.inflight-1)
+	switch outcome {
+	case Answered:
+		t.noteSuccess(now)
+		t.awayFor = 0
+		s.learn(t, took, now)
+	case Failed:
+		t.noteFailure(now)
+	case Shed:
+		t.load.Waiting++
+	case Moved:
+		t.moved = true
+	case Unreachable:
+		s.Lost(id, now)
+	}
+}
+
+// learn updates the mean work from an answer, corrected by the pace at which the upstream ran.
+func (s *Service) learn(t *target, took time.Duration, now time.Time) {
+	sample := float64(took) / max(1, t.pace(now, s.meanPace))
+	sample = min(sample, 4*float64(s.work)) // one answer must not change everything
+	difference := sample - float64(s.work)
+	s.work += time.Duration(workGain * difference)
+	if difference < 0 {
+		difference = -difference
+	}
+	s.deviation += time.Duration(workGain * (difference - float64(s.deviation)))
+}
+
+// Observe takes over the load that an upstream reported at sentAt or later, and the rest of its warm-up.
+func (s *Service) Observe(id string, l Load, now time.Time) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.load, t.loadAt, t.sentSince = l, now, 0
+	if l.Pace > 0 {
+		s.meanPace += paceGain * (l.Pace - s.meanPace)
+	}
+}
+
+// ObserveProbe takes over what a health response says.
+func (s *Service) ObserveProbe(id string, healthy bool, warmupLeft, roundTrip time.Duration, now time.Time) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.awayFor, t.away = 0, time.Time{}
+	t.roundTrip = roundTrip
+	wasCold := t.cold(now)
+	t.ColdUntil = now.Add(warmupLeft)
+	if !wasCold && warmupLeft > 0 {
+		t.coldAt, t.coldTokens = now, 0
+	}
+	if !healthy {
+		t.away = now.Add(unreachableFor)
+	}
+}
+
+// Lost records that an upstream could not be reached, or gave no answer to a probe.
+func (s *Service) Lost(id string, now time.Time) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	t.awayFor = min(max(2*t.awayFor, unreachableFor), unreachableForMax)
+	t.away = now.Add(t.awayFor)
+}
+
+// HedgeAfter returns how long an answer may be awaited before a second upstream is asked: longer than nearly all answers of
+// undisturbed upstreams, and early enough for the second answer to be in time for target.
+func (s *Service) HedgeAfter(target time.Duration) time.Duration {
+	usual := s.work + 3*s.deviation
+	if latest := target - s.work - s.deviation; target > 0 && latest > s.work+s.deviation {
+		return min(usual, latest)
+	}
+	return usual
+}
+
+// Work returns the mean duration of a request on an undisturbed upstream.
+func (s *Service) Work() time.Duration { return s.work }
--- /dev/null
+++ b/balancing/target.go
@@ -0,0 +1,92 @@
+package balancing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// FreshFor is the age up to which a load counts as current. Slow periods last about 500 ms, so a load of 25 ms is out of
+	// date in about 1 of 20 cases.
+	FreshFor = 25 * time.Millisecond
+	// paceMemory is the time constant with which a reported pace loses its weight against the service's mean.
+	paceMemory = 300 * time.Millisecond
+	// failureMemory is the time constant with which failures are forgotten.
+	failureMemory = 2 * time.Second
+	// failureWeight is what one failure adds to the failure score.
+	failureWeight = 0.4
+	// suspectScore is the failure score above which an upstream is used only if there is no other.
+	suspectScore = 0.3
+	// kneeShare and kneeFactor: upstreams slow down when they are nearly full.
+	kneeShare  = 0.8
+	kneeFactor = 1.5
+	// coldFactor is how much longer a cold upstream takes.
+	coldFactor = 2.0
+	// unreachableFor is how long an upstream that could not be reached is left alone; doubled each time up to the maximum.
+	unreachableFor    = 250 * time.Millisecond
+	unreachableForMax = 2 * time.Second
+	// coldBurst bounds the requests that a cold upstream gets at once.
+	coldBurst = 1.0
+)
+
+// target is the state of one upstream.
+type target struct {
+	Upstream
+	load       Load
+	loadAt     time.Time
+	sentSince  int // requests sent after loadAt
+	inflight   int
+	failures   float64
+	failuresAt time.Time
+	away       time.Time // not used before
+	awayFor    time.Duration
+	moved      bool // the address belongs to another upstream
+	coldTokens float64
+	coldAt     time.Time
+	roundTrip  time.Duration
+}
+
+func (t *target) slots() int {
+	if t.load.Slots > 0 {
+		return t.load.Slots
+	}
+	return max(1, t.Slots)
+}
+
+// occupied estimates the requests that run or wait there now.
+func (t *target) occupied(now time.Time) int {
+	if t.loadAt.IsZero() || now.Sub(t.loadAt) > paceMemory {
+		return t.inflight
+	}
+	return max(t.inflight, t.load.Running+t.load.Waiting+t.sentSince)
+}
+
+func (t *target) failureScore(now time.Time) float64 {
+	return t.failures * math.Exp(-float64(now.Sub(t.failuresAt))/float64(failureMemory))
+}
+
+func (t *target) noteFailure(now time.Time) {
+	t.failures, t.failuresAt = min(2, t.failureScore(now)+failureWeight), now
+}
+
+func (t *target) noteSuccess(now time.Time) {
+	t.failures, t.failuresAt = t.failureScore(now)*(1-failureWeight/2), now
+}
+
+// pace mixes the last reported pace with the service's mean by age.
+func (t *target) pace(now time.Time, mean float64) float64 {
+	if t.load.Pace <= 0 {
+		return mean
+	}
+	weight := math.Exp(-float64(now.Sub(t.loadAt)) / float64(paceMemory))
+	return mean + (t.load.Pace-mean)*weight
+}
+
+func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
+// coldAllowance refills the tokens for a cold upstream.
+func (t *target) coldAllowance(now time.Time, perSecond float64) float64 {
+	t.coldTokens = min(coldBurst, t.coldTokens+now.Sub(t.coldAt).Seconds()*perSecond)
+	t.coldAt = now
+	return t.coldTokens
+}
--- /dev/null
+++ b/cmd/bramleypick/entry.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/bramleypick/bramleypick/internal/entrynode"
+	"github.com/bramleypick/bramleypick/platform"
+)
+
+// entryGCPercent trades processor time for memory: an entry process allocates little, and its memory is the dearer of the two.
+const entryGCPercent = 50
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run the process of one entry VM on the operators' platform; SIGTERM stops it gracefully",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Usage: "the platform's settings `FILE`",
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			debug.SetGCPercent(entryGCPercent)
+			path := c.String("settings")
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+			log := zap.New(plainErrors{zapcore.NewCore(encoder, zapcore.Lock(os.Stdout), zap.InfoLevel)})
+			node := entrynode.New(s, platform.Adapter{SettingsPath: path}, log.With(zap.String("vm", s.Name)))
+			return errors.Wrap(node.Run(ctx), "entry")
+		},
+	}
+}
--- a/cmd/bramleypick/main.go
+++ b/cmd/bramleypick/main.go
@@ -27,7 +27,7 @@
 		Name:  "bramleypick",
 		Usage: "an L7 load balancer for upstreams whose load shifts within milliseconds",
 		Commands: []*cli.Command{
-			runCommand(), bootstrapCommand(), checkCommand(),
+			runCommand(), entryCommand(), bootstrapCommand(), checkCommand(),
 			applyCommand(), configCommand(), statusCommand(), stopCommand(), returnCommand(),
 			keysCommand(), trialCommand(), loadgen.Command(),
 		},
--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,224 @@
+package cluster
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/roster"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+const (
+	// dutyInterval is the time between two rounds of slow duties: new replicas to dial, expiry, membership of the group.
+	dutyInterval = 200 * time.Millisecond
+	// fetchTimeout bounds the fetching of a view from one replica. A large one takes 100 ms on a link of 6 Mbit/s.
+	fetchTimeout = 600 * time.Millisecond
+)
+
+// Cluster is this process's part. Its methods may be called concurrently.
+type Cluster struct {
+	cfg      Config
+	log      *zap.Logger
+	nodes    *roster.Roster
+	registry *registry.Registry
+	view     atomic.Pointer[routingstate.View]
+	changed  chan struct{}
+	fetches  chan *nodelink.Link
+
+	mu          sync.Mutex
+	self        roster.Node
+	dialed      map[string]*nodelink.Link // open links to replicas, by peer address
+	keeping     map[string]context.CancelFunc
+	subscribers map[*nodelink.Link]*subscriber
+	replica     *replica
+	founded     bool
+}
+
+// New returns a cluster that is not running.
+func New(cfg Config) *Cluster {
+	c := &Cluster{
+		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
+		changed: make(chan struct{}, 1), fetches: make(chan *nodelink.Link, 16),
+		dialed: make(map[string]*nodelink.Link), keeping: make(map[string]context.CancelFunc),
+		subscribers: make(map[*nodelink.Link]*subscriber),
+	}
+	c.self.State, c.self.Seq = roster.Starting, 1
+	c.view.Store(&routingstate.View{})
+	return c
+}
+
+// Run serves until ctx ends. It fails if the replica's disk does.
+func (c *Cluster) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", c.cfg.Self.Peer)
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	defer cancel(nil)
+	duties.Go(func() {
+		if err := nodelink.Serve(ctx, listener, (*handler)(c)); err != nil {
+			cancel(err)
+		}
+	})
+	duties.Go(func() { c.fetch(ctx) })
+	duties.Go(func() { c.publish(ctx) })
+	if c.cfg.DataDir != "" {
+		duties.Go(func() {
+			if err := c.runReplica(ctx); err != nil {
+				cancel(err)
+			}
+		})
+	}
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		c.dialReplicas(ctx)
+		now := time.Now()
+		c.nodes.Expire(now)
+		c.registry.Expire(now, c.silentUpstream())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			if cause := context.Cause(ctx); cause != context.Canceled {
+				return cause
+			}
+			return nil
+		}
+	}
+}
+
+// silentUpstream is zero in processes that do not hear announcements themselves.
+func (c *Cluster) silentUpstream() time.Duration {
+	return 0
+}
+
+// Changed signals that View, Upstreams or Nodes may have changed. Several changes may be one signal.
+func (c *Cluster) Changed() <-chan struct{} { return c.changed }
+
+func (c *Cluster) notify() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// View returns the newest configuration and evacuations known here. It never goes back.
+func (c *Cluster) View() *routingstate.View { return c.view.Load() }
+
+// Upstreams returns what upstreams announced.
+func (c *Cluster) Upstreams() []registry.Entry { return c.registry.All(time.Now()) }
+
+// Nodes returns the live processes, this one included, sorted by IP.
+func (c *Cluster) Nodes() []roster.Node { return c.nodes.Alive() }
+
+// Self returns what this process says about itself.
+func (c *Cluster) Self() roster.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.self
+}
+
+// InTouch tells whether a link to a control replica is open, or this process runs one that has a leader.
+func (c *Cluster) InTouch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.replica != nil && c.replica.node.Status().Leader != 0 {
+		return true
+	}
+	return len(c.dialed) > 0
+}
+
+// SetState tells everybody that this process is ready or leaves.
+func (c *Cluster) SetState(s roster.State) {
+	c.changeSelf(func(n *roster.Node) { n.State = s })
+}
+
+func (c *Cluster) changeSelf(change func(*roster.Node)) {
+	c.mu.Lock()
+	before := c.self
+	change(&c.self)
+	if c.self == before {
+		c.mu.Unlock()
+		return
+	}
+	c.self.Seq++
+	self := c.self
+	for _, link := range c.dialed {
+		c.sendSelf(link, self)
+	}
+	c.mu.Unlock()
+	c.report(roster.Report{Node: self, Alive: true})
+}
+
+func (c *Cluster) sendSelf(link *nodelink.Link, self roster.Node) {
+	body, err := encode(self)
+	if err != nil {
+		c.log.Error("node not encoded", zap.Error(err))
+		return
+	}
+	link.Send(methodNode, body)
+}
+
+// report takes over what this process itself sees, and tells the subscribers.
+func (c *Cluster) report(r roster.Report) {
+	if !c.nodes.Report(c.cfg.Self.Peer, r, time.Now()) {
+		return
+	}
+	c.markReport(r)
+	c.notify()
+}
+
+// adopt replaces the view by a newer one.
+func (c *Cluster) adopt(v *routingstate.View) {
+	for {
+		old := c.view.Load()
+		if v.Index <= old.Index {
+			return
+		}
+		if c.view.CompareAndSwap(old, v) {
+			break
+		}
+	}
+	var version uint64
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	c.log.Info("view in force", zap.Uint64("index", v.Index), zap.Uint64("config_version", version),
+		zap.Int("evacuated_zones", len(v.Evacuated)))
+	c.markView()
+	c.notify()
+}
+
+// fetch gets newer views from the replicas that have them.
+func (c *Cluster) fetch(ctx context.Context) {
+	for {
+		var link *nodelink.Link
+		select {
+		case link = <-c.fetches:
+		case <-ctx.Done():
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		data, err := link.Call(callCtx, methodView, nil)
+		cancel()
+		var view *routingstate.View
+		if err == nil {
+			view, err = routingstate.DecodeView(data)
+		}
+		if err != nil {
+			c.log.Warn("view not fetched", zap.String("replica", link.Remote), zap.Error(err))
+			continue
+		}
+		c.adopt(view)
+	}
+}
--- /dev/null
+++ b/internal/cluster/config.go
@@ -0,0 +1,24 @@
+package cluster
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+// Config configures a Cluster.
+type Config struct {
+	// Self describes this process. State, Seq and ReplicaID are set by the Cluster.
+	Self roster.Node
+	// Seeds returns the peer addresses of processes that know others. It is called again and again, because settings change.
+	Seeds func() []string
+	// DataDir is the folder of the control replica. Empty means that the process runs none.
+	DataDir string
+	// Found permits founding the control group, at the first start of the whole deployment.
+	Found bool
+	// SilentUpstream is how long an upstream may announce nothing until its entry is dropped.
+	SilentUpstream time.Duration
+	Log            *zap.Logger
+}
--- /dev/null
+++ b/internal/cluster/group.go
@@ -0,0 +1,94 @@
+package cluster
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/controlnode"
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+const (
+	// changeTimeout bounds one membership change of the group.
+	changeTimeout = time.Second
+	// demoteAfter is the silence after which a voter is demoted. The group must bear the next loss soon after a replica was
+	// replaced: the platform grants a successor 4 s to catch up, of which an election may take more than one.
+	demoteAfter = 2500 * time.Millisecond
+)
+
+// leadGroup keeps the group's membership equal to the live replicas while this replica leads, until ctx ends or the node
+// fails.
+func (c *Cluster) leadGroup(ctx context.Context, node *controlnode.Node) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	var leader replog.NodeID
+	for {
+		s := node.Status()
+		if len(s.Membership.Voters) > 0 {
+			c.mu.Lock()
+			c.founded = true
+			c.mu.Unlock()
+		}
+		if s.Leader != leader {
+			c.log.Info("leader of the control group", zap.Uint64("leader", uint64(s.Leader)), zap.Uint64("term", s.Term))
+			leader = s.Leader
+		}
+		if s.Role == replog.RoleLeader {
+			c.changeMembers(ctx, node, s)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		case <-node.Stopped():
+			return
+		}
+	}
+}
+
+func (c *Cluster) changeMembers(ctx context.Context, node *controlnode.Node, s replog.Status) {
+	alive := c.aliveReplicas()
+	node.SetDesiredVoters(alive)
+	change, ok := nextChange(s, alive)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	err := node.ChangeMembership(ctx, change)
+	c.log.Info("membership change of the control group", zap.Uint8("kind", uint8(change.Kind)),
+		zap.Uint64("replica", uint64(change.Node)), zap.Error(err))
+}
+
+func (c *Cluster) aliveReplicas() []replog.NodeID {
+	var ids []replog.NodeID
+	for _, n := range c.nodes.Alive() {
+		if n.ReplicaID != 0 && n.State != roster.Leaving {
+			ids = append(ids, replog.NodeID(n.ReplicaID))
+		}
+	}
+	return ids
+}
+
+// nextChange returns the membership change that the leader makes next. New replicas join as learners; controlnode makes them
+// voters once they have caught up, and demotes voters that are silent for demoteAfter while three remain.
+func nextChange(s replog.Status, alive []replog.NodeID) (replog.MembershipChange, bool) {
+	if s.ChangePending || !s.TermCommitted {
+		return replog.MembershipChange{}, false
+	}
+	for _, id := range alive {
+		if !s.Membership.Contains(id) {
+			return replog.MembershipChange{Kind: replog.ChangeAddLearner, Node: id}, true
+		}
+	}
+	for _, id := range s.Membership.Learners {
+		if !slices.Contains(alive, id) {
+			return replog.MembershipChange{Kind: replog.ChangeRemove, Node: id}, true
+		}
+	}
+	return replog.MembershipChange{}, false
+}
--- /dev/null
+++ b/internal/cluster/handler.go
@@ -0,0 +1,158 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+// errNoReplica answers calls that only a process with a control replica can serve.
+var errNoReplica = errors.New("this process has no control replica")
+
+// handler is the Cluster's side of links.
+type handler Cluster
+
+// Opened implements nodelink.Handler.
+func (h *handler) Opened(l *nodelink.Link) {
+	c := (*Cluster)(h)
+	if !l.Dialed {
+		c.subscribe(l)
+		return
+	}
+	c.mu.Lock()
+	c.dialed[l.Remote] = l
+	self := c.self
+	c.mu.Unlock()
+	c.sendSelf(l, self)
+	c.log.Info("replica connected", zap.String("replica", l.Remote))
+}
+
+// Closed implements nodelink.Handler.
+func (h *handler) Closed(l *nodelink.Link, cause error) {
+	c := (*Cluster)(h)
+	if !l.Dialed {
+		c.unsubscribe(l)
+		return
+	}
+	c.mu.Lock()
+	if c.dialed[l.Remote] == l {
+		delete(c.dialed, l.Remote)
+	}
+	c.mu.Unlock()
+	c.nodes.Forget(l.Remote, time.Now())
+	c.notify()
+	c.log.Warn("replica lost", zap.String("replica", l.Remote), zap.NamedError("cause", cause))
+}
+
+// Receive implements nodelink.Handler.
+func (h *handler) Receive(l *nodelink.Link, m nodelink.Method, body []byte) {
+	c := (*Cluster)(h)
+	var err error
+	switch m {
+	case methodNode:
+		var n roster.Node
+		if err = decode(body, &n); err == nil {
+			c.identify(l, n)
+		}
+	case methodUpdate:
+		var u update
+		if err = decode(body, &u); err == nil {
+			c.update(l, u)
+		}
+	case methodReplog:
+		var message replog.Message
+		if err = decode(body, &message); err == nil {
+			if r := c.runningReplica(); r != nil {
+				r.node.Receive(message)
+			}
+		}
+	}
+	if err != nil {
+		c.log.Error("message not decoded", zap.String("from", l.Remote), zap.Uint8("method", uint8(m)), zap.Error(err))
+	}
+}
+
+// update takes over what a replica tells.
+func (c *Cluster) update(l *nodelink.Link, u update) {
+	now := time.Now()
+	for _, report := range u.Reports {
+		if c.nodes.Report(l.Remote, report, now) && !report.Alive {
+			c.log.Info("process lost", zap.String("vm", report.Node.Name), zap.String("reported_by", l.Remote))
+		}
+	}
+	for _, e := range u.Entries {
+		c.merge(e)
+	}
+	for _, n := range u.Replicas {
+		// From a process that is no replica: reason enough to dial, none to send clients there.
+		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
+	}
+	if u.ViewIndex > c.View().Index {
+		select {
+		case c.fetches <- l:
+		default: // fetches of the same view are waiting already
+		}
+	}
+	c.notify()
+}
+
+// merge takes over an announcement and tells the subscribers what changed.
+func (c *Cluster) merge(e registry.Entry) {
+	changed := c.registry.Merge(e, time.Now())
+	if len(changed) == 0 {
+		return
+	}
+	for _, entry := range changed {
+		c.log.Info("upstream", zap.String("upstream", entry.ID), zap.String("service", entry.Service),
+			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Uint8("state", uint8(entry.State)),
+			zap.Int64("born", entry.Born), zap.Uint64("seq", entry.Seq))
+	}
+	c.markEntries(changed)
+	c.notify()
+}
+
+// Serve implements nodelink.Handler.
+func (h *handler) Serve(ctx context.Context, l *nodelink.Link, m nodelink.Method, body []byte) ([]byte, error) {
+	c := (*Cluster)(h)
+	if m == methodStatus {
+		c.mu.Lock()
+		s := status{HasDisk: c.cfg.DataDir != "", Founded: c.founded}
+		c.mu.Unlock()
+		return encode(s)
+	}
+	r := c.runningReplica()
+	if r == nil {
+		return nil, errNoReplica
+	}
+	switch m {
+	case methodAnnounce, methodHold:
+		var e registry.Entry
+		if err := decode(body, &e); err != nil {
+			return nil, err
+		}
+		if m == methodHold {
+			c.merge(e)
+			return nil, nil
+		}
+		return nil, c.hold(ctx, r, e)
+	case methodSubmit, methodRead:
+		var s submission
+		if err := decode(body, &s); err != nil {
+			return nil, err
+		}
+		if m == methodRead {
+			return c.readOnReplica(ctx, r, s)
+		}
+		return c.submitOnReplica(ctx, r, s)
+	case methodView:
+		return r.machine.View().Encode()
+	}
+	return nil, errors.Errorf("unknown method %d", m)
+}
--- /dev/null
+++ b/internal/cluster/replica.go
@@ -0,0 +1,210 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/controlnode"
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/roster"
+	"github.com/bramleypick/bramleypick/routingstate"
+	"github.com/bramleypick/bramleypick/vfs"
+)
+
+// replicaIDFile holds the id of the replica. A replica that lost its disk finds none and takes a new id, because under the
+// old one it could vote twice in a term.
+const replicaIDFile = "replica-id"
+
+// replica is the member of the control group in this process.
+type replica struct {
+	id      replog.NodeID
+	node    *controlnode.Node
+	machine *routingstate.Machine
+}
+
+// observedMachine tells the cluster after each command that there is a newer view.
+type observedMachine struct {
+	*routingstate.Machine
+	applied func(*routingstate.View)
+}
+
+// Apply implements controlnode.StateMachine.
+func (m *observedMachine) Apply(index uint64, data []byte) []byte {
+	result := m.Machine.Apply(index, data)
+	m.applied(m.View())
+	return result
+}
+
+// Restore implements controlnode.StateMachine.
+func (m *observedMachine) Restore(data []byte) error {
+	err := m.Machine.Restore(data)
+	m.applied(m.View())
+	return err
+}
+
+// runReplica runs the control replica until ctx ends or its disk fails.
+func (c *Cluster) runReplica(ctx context.Context) error {
+	id, fresh, err := loadReplicaID(vfs.OS{}, c.cfg.DataDir)
+	if err != nil {
+		return err
+	}
+	var bootstrap replog.Membership
+	if fresh && c.cfg.Found && c.mayFound(ctx) {
+		bootstrap.Voters = []replog.NodeID{id}
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	machine := &observedMachine{Machine: routingstate.New(), applied: c.adopt}
+	node, err := controlnode.Start(controlnode.Config{
+		ID: id, Dir: filepath.Join(c.cfg.DataDir, "log"), Bootstrap: bootstrap, DemoteAfter: demoteAfter,
+	}, machine, replicaTransport{c})
+	if err != nil {
+		return errors.Wrap(err, "start the control replica")
+	}
+	c.mu.Lock()
+	c.replica = &replica{id: id, node: node, machine: machine.Machine}
+	c.founded = c.founded || len(bootstrap.Voters) > 0
+	c.mu.Unlock()
+	c.log.Info("replica started", zap.Uint64("replica", uint64(id)), zap.Bool("fresh", fresh),
+		zap.Bool("founder", len(bootstrap.Voters) > 0))
+	c.changeSelf(func(n *roster.Node) { n.ReplicaID = uint64(id) })
+	c.leadGroup(ctx, node)
+	select {
+	case err := <-node.Failed():
+		return errors.Wrap(err, "control replica failed")
+	default:
+	}
+	return errors.Wrap(node.Stop(), "stop the control replica")
+}
+
+func (c *Cluster) runningReplica() *replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica
+}
+
+// loadReplicaID reads the id of the replica, or makes and persists one if the folder holds none.
+func loadReplicaID(fsys vfs.FS, dir string) (id replog.NodeID, fresh bool, err error) {
+	if err := fsys.MkdirAll(dir); err != nil {
+		return 0, false, errors.Wrap(err, "data folder")
+	}
+	name := filepath.Join(dir, replicaIDFile)
+	data, err := vfs.ReadFile(fsys, name)
+	if err == nil {
+		text := strings.TrimSpace(string(data))
+		if number, parseErr := strconv.ParseUint(text, 10, 64); parseErr == nil && strings.HasSuffix(string(data), "\n") {
+			return replog.NodeID(number), false, nil
+		}
+		// The file is torn: power was lost before the id was ever used, because it is used only after it was synced.
+		if err := fsys.Remove(name); err != nil {
+			return 0, false, errors.Wrap(err, "remove torn replica id")
+		}
+	} else if !errors.Is(err, fs.ErrNotExist) {
+		return 0, false, errors.Wrap(err, "replica id")
+	}
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return 0, false, errors.Wrap(err, "replica id")
+	}
+	id = replog.NodeID(binary.BigEndian.Uint64(random[:]) | 1)
+	return id, true, errors.Wrap(saveReplicaID(fsys, dir, name, id), "replica id")
+}
+
+func saveReplicaID(fsys vfs.FS, dir, name string, id replog.NodeID) error {
+	file, err := fsys.Create(name)
+	if err != nil {
+		return err
+	}
+	_, err = file.Write([]byte(strconv.FormatUint(uint64(id), 10) + "\n"))
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return err
+	}
+	return fsys.SyncDir(dir)
+}
+
+// mayFound decides whether this process founds the group: it is the first seed that has a disk, and all seeds before it say
+// that they have none. It returns false once any seed knows of a group.
+func (c *Cluster) mayFound(ctx context.Context) bool {
+	ticker := time.NewTicker(dutyInterval / 4)
+	defer ticker.Stop()
+	for {
+		first := true
+		for _, seed := range c.cfg.Seeds() {
+			if seed == c.cfg.Self.Peer {
+				if first {
+					return true
+				}
+				continue
+			}
+			s, err := c.statusOf(ctx, seed)
+			if err == nil && s.Founded {
+				return false
+			}
+			if err != nil || s.HasDisk {
+				first = false
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (c *Cluster) statusOf(ctx context.Context, address string) (status, error) {
+	var s status
+	c.mu.Lock()
+	l := c.dialed[address]
+	c.mu.Unlock()
+	if l == nil {
+		return s, errors.New("not connected")
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := l.Call(ctx, methodStatus, nil)
+	if err != nil {
+		return s, err
+	}
+	return s, decode(data, &s)
+}
+
+// replicaTransport sends the group's messages on the links that this process dialed.
+type replicaTransport struct{ cluster *Cluster }
+
+// Send implements controlnode.Transport.
+func (t replicaTransport) Send(to replog.NodeID, m replog.Message) {
+	c := t.cluster
+	n, ok := c.nodes.Replica(uint64(to))
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	l := c.dialed[n.Peer]
+	c.mu.Unlock()
+	if l == nil {
+		return
+	}
+	body, err := encode(m)
+	if err != nil {
+		c.log.Error("replicated-log message not encoded", zap.Error(err))
+		return
+	}
+	l.Send(methodReplog, body)
+}
--- /dev/null
+++ b/internal/cluster/submit.go
@@ -0,0 +1,224 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/controlnode"
+	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+// ErrNoControl tells that no replica could be asked or none answered. Whether a submitted change took effect is not known.
+var ErrNoControl = errors.New("the control group was not reached")
+
+// Submit puts a change into the log and returns its result once it is committed.
+func (c *Cluster) Submit(ctx context.Context, command routingstate.Command) (routingstate.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return routingstate.Result{}, err
+	}
+	reply, err := c.callLeader(ctx, methodSubmit, submission{Command: data})
+	if err != nil {
+		return routingstate.Result{}, err
+	}
+	return routingstate.DecodeResult(reply)
+}
+
+// Read returns a view that contains every change acknowledged before the call.
+func (c *Cluster) Read(ctx context.Context) (*routingstate.View, error) {
+	reply, err := c.callLeader(ctx, methodRead, submission{})
+	if err != nil {
+		return nil, err
+	}
+	return routingstate.DecodeView(reply)
+}
+
+// callLeader serves a submission here, or asks one replica after the other until one can.
+func (c *Cluster) callLeader(ctx context.Context, m nodelink.Method, s submission) ([]byte, error) {
+	if r := c.runningReplica(); r != nil {
+		if m == methodRead {
+			return c.readOnReplica(ctx, r, s)
+		}
+		return c.submitOnReplica(ctx, r, s)
+	}
+	body, err := encode(s)
+	if err != nil {
+		return nil, err
+	}
+	err = ErrNoControl
+	for _, l := range c.links() {
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		reply, callErr := l.Call(callCtx, m, body)
+		cancel()
+		if callErr == nil {
+			return reply, nil
+		}
+		err = errors.Wrap(ErrNoControl, callErr.Error())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+const (
+	// relayTimeout bounds what one replica is waited for. Callers go elsewhere after a second.
+	relayTimeout = 450 * time.Millisecond
+	// proposeTimeout bounds a proposal at the leader.
+	proposeTimeout = 850 * time.Millisecond
+)
+
+func (c *Cluster) submitOnReplica(ctx context.Context, r *replica, s submission) ([]byte, error) {
+	if reply, done, err := c.passOn(ctx, r, methodSubmit, s); done {
+		return reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return r.node.Propose(ctx, s.Command)
+}
+
+func (c *Cluster) readOnReplica(ctx context.Context, r *replica, s submission) ([]byte, error) {
+	if reply, done, err := c.passOn(ctx, r, methodRead, s); done {
+		return reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if _, err := r.node.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	return r.machine.View().Encode()
+}
+
+// passOn calls the leader if it is another replica.
+func (c *Cluster) passOn(ctx context.Context, r *replica, m nodelink.Method, s submission) (reply []byte, done bool, err error) {
+	st := r.node.Status()
+	if st.Role == replog.RoleLeader {
+		return nil, false, nil
+	}
+	n, known := c.nodes.Replica(uint64(st.Leader))
+	c.mu.Lock()
+	l := c.dialed[n.Peer]
+	c.mu.Unlock()
+	if s.Forwarded || st.Leader == 0 || !known || l == nil {
+		return nil, true, controlnode.ErrNotLeader
+	}
+	s.Forwarded = true
+	body, err := encode(s)
+	if err != nil {
+		return nil, true, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	reply, err = l.Call(ctx, m, body)
+	return reply, true, err
+}
+
+// Announce takes over what an upstream says about itself. It returns nil once every process that reaches the replicas is
+// sure to learn it.
+func (c *Cluster) Announce(ctx context.Context, e registry.Entry) error {
+	e = c.complete(e)
+	if r := c.runningReplica(); r != nil {
+		return c.hold(ctx, r, e)
+	}
+	body, err := encode(e)
+	if err != nil {
+		return err
+	}
+	err = ErrNoControl
+	for _, l := range c.links() {
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+		_, callErr := l.Call(callCtx, methodAnnounce, body)
+		cancel()
+		if callErr == nil {
+			c.merge(e)
+			return nil
+		}
+		err = errors.Wrap(ErrNoControl, callErr.Error())
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+// complete fills in a deregistration, which names the upstream only.
+func (c *Cluster) complete(e registry.Entry) registry.Entry {
+	if e.State != registry.Gone || e.Address != "" {
+		return e
+	}
+	if known, ok := c.registry.Get(e.ID); ok {
+		known.State = registry.Gone
+		return known
+	}
+	return e
+}
+
+// hold merges an announcement. A drain or the end of an upstream is also given to a majority of the replicas before hold
+// returns.
+func (c *Cluster) hold(ctx context.Context, r *replica, e registry.Entry) error {
+	e = c.complete(e)
+	c.merge(e)
+	if e.State == registry.Ready {
+		return nil
+	}
+	members := r.node.Status().Membership
+	need := len(members.Voters)/2 + 1
+	if len(members.Voters) == 0 {
+		return errors.Wrap(ErrNoControl, "no control group yet")
+	}
+	if members.IsVoter(r.id) {
+		need--
+	}
+	return c.holdElsewhere(ctx, r, e, members.Voters, need)
+}
+
+func (c *Cluster) holdElsewhere(ctx context.Context, r *replica, e registry.Entry, voters []replog.NodeID, need int) error {
+	body, err := encode(e)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	results := make(chan error, len(voters))
+	asked := 0
+	for _, id := range voters {
+		n, known := c.nodes.Replica(uint64(id))
+		c.mu.Lock()
+		l := c.dialed[n.Peer]
+		c.mu.Unlock()
+		if id == r.id || !known || l == nil {
+			continue
+		}
+		asked++
+		go func() {
+			_, err := l.Call(ctx, methodHold, body)
+			results <- err
+		}()
+	}
+	for ; need > 0 && asked > 0; asked-- {
+		if err := <-results; err == nil {
+			need--
+		}
+	}
+	if need > 0 {
+		return errors.Wrap(ErrNoControl, "no majority holds the announcement")
+	}
+	return nil
+}
+
+// Code returns the result code for an error of Submit or Read.
+func Code(err error) resultcode.Code {
+	switch {
+	case err == nil:
+		return resultcode.OK
+	case errors.Is(err, controlnode.ErrNotLeader):
+		return resultcode.NotLeader
+	}
+	return resultcode.ChangeOutcomeUnknown
+}
--- /dev/null
+++ b/internal/cluster/subscriber.go
@@ -0,0 +1,171 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+// publishInterval bounds how often a subscriber is told; changes in between are sent together.
+const publishInterval = 20 * time.Millisecond
+
+// subscriber is a process that dialed this one. What it has not been told is kept by key, so that it is bounded by the
+// number of processes and upstreams however slowly the subscriber reads.
+type subscriber struct {
+	node    roster.Node // zero until it has said who it is
+	reports map[string]roster.Report
+	entries map[string]registry.Entry
+	view    bool
+}
+
+func (s *subscriber) pending() bool { return len(s.reports) > 0 || len(s.entries) > 0 || s.view }
+
+// subscribe tells a new subscriber everything.
+func (c *Cluster) subscribe(l *nodelink.Link) {
+	s := &subscriber{reports: make(map[string]roster.Report), entries: make(map[string]registry.Entry), view: true}
+	c.mu.Lock()
+	c.subscribers[l] = s
+	c.mu.Unlock()
+	for _, n := range c.nodes.Alive() {
+		if c.sees(n) {
+			c.mu.Lock()
+			s.reports[n.IP] = roster.Report{Node: n, Alive: true}
+			c.mu.Unlock()
+		}
+	}
+	for _, e := range c.registry.All(time.Now()) {
+		c.mu.Lock()
+		if _, newer := s.entries[e.ID]; !newer {
+			s.entries[e.ID] = e
+		}
+		c.mu.Unlock()
+	}
+}
+
+// sees tells whether this process has a link from the node, or is it.
+func (c *Cluster) sees(n roster.Node) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n.IP == c.self.IP {
+		return true
+	}
+	for _, s := range c.subscribers {
+		if s.node.IP == n.IP && s.node.Incarnation == n.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+// identify takes over what a subscriber says about itself.
+func (c *Cluster) identify(l *nodelink.Link, n roster.Node) {
+	c.mu.Lock()
+	s := c.subscribers[l]
+	if s != nil {
+		s.node = n
+	}
+	c.mu.Unlock()
+	if s != nil {
+		c.report(roster.Report{Node: n, Alive: true})
+	}
+}
+
+func (c *Cluster) unsubscribe(l *nodelink.Link) {
+	c.mu.Lock()
+	s := c.subscribers[l]
+	delete(c.subscribers, l)
+	c.mu.Unlock()
+	if s == nil || s.node.IP == "" || c.sees(s.node) {
+		return
+	}
+	c.log.Info("process disconnected", zap.String("vm", s.node.Name))
+	c.report(roster.Report{Node: s.node, Alive: false})
+}
+
+func (c *Cluster) markReport(r roster.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.subscribers {
+		s.reports[r.Node.IP] = r
+	}
+}
+
+func (c *Cluster) markEntries(entries []registry.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.subscribers {
+		for _, e := range entries {
+			s.entries[e.ID] = e
+		}
+	}
+}
+
+func (c *Cluster) markView() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.subscribers {
+		s.view = true
+	}
+}
+
+// publish tells the subscribers what changed.
+func (c *Cluster) publish(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		for l, u := range c.takeUpdates() {
+			body, err := encode(u)
+			if err != nil {
+				c.log.Error("update not encoded", zap.Error(err))
+				continue
+			}
+			l.Send(methodUpdate, body)
+		}
+	}
+}
+
+func (c *Cluster) takeUpdates() map[*nodelink.Link]update {
+	isReplica := c.runningReplica() != nil
+	var replicas []roster.Node
+	if !isReplica {
+		for _, n := range c.nodes.Alive() {
+			if n.ReplicaID != 0 {
+				replicas = append(replicas, n)
+			}
+		}
+	}
+	index := c.View().Index
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	updates := make(map[*nodelink.Link]update)
+	for l, s := range c.subscribers {
+		if !s.pending() {
+			continue
+		}
+		var u update
+		if isReplica {
+			for _, r := range s.reports {
+				u.Reports = append(u.Reports, r)
+			}
+			for _, e := range s.entries {
+				u.Entries = append(u.Entries, e)
+			}
+			u.ViewIndex = index
+		} else {
+			u.Replicas = replicas
+		}
+		s.reports, s.entries, s.view = make(map[string]roster.Report), make(map[string]registry.Entry), false
+		updates[l] = u
+	}
+	return updates
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -201,3 +201,6 @@
 	_, err := n.submit(ctx, &proposal{change: &c, done: make(chan outcome, 1)})
 	return err
 }
+
+// Stopped is closed once the replica has stopped and nothing more is applied.
+func (n *Node) Stopped() <-chan struct{} { return n.stopped }
--- /dev/null
+++ b/internal/edge/attempt.go
@@ -0,0 +1,177 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/internal/hopheader"
+	"github.com/bramleypick/bramleypick/internal/upstreamconn"
+)
+
+// attempt is one sending of a call's request to one upstream.
+type attempt struct {
+	call      *call
+	candidate balancing.Candidate
+	ctx       context.Context
+	cancel    context.CancelFunc
+	began     time.Time
+
+	resp    *http.Response
+	whole   []byte // the body, if it was read completely
+	isWhole bool
+	err     error
+	// notRun tells that the upstream certainly did not begin the request.
+	notRun bool
+}
+
+func newAttempt(ctx context.Context, c *call, candidate balancing.Candidate) *attempt {
+	a := &attempt{call: c, candidate: candidate, began: time.Now()}
+	a.ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	return a
+}
+
+// run sends the request and reads the response, and hands itself over.
+func (a *attempt) run(results chan<- *attempt) {
+	a.exchange()
+	now := time.Now()
+	outcome := a.outcome()
+	a.call.service.mu.Lock()
+	a.call.service.balancer.End(a.candidate.ID, outcome, now.Sub(a.began), now)
+	if a.resp != nil {
+		if load, ok := a.call.g.cfg.Protocol.Load(a.resp.Header); ok {
+			a.call.service.balancer.Observe(a.candidate.ID, load, now)
+		}
+	}
+	a.call.service.mu.Unlock()
+	results <- a
+}
+
+func (a *attempt) exchange() {
+	pool := a.call.service.pool(a.candidate.Address)
+	maxIdle := idleUpstream
+	if !a.call.repeatable() {
+		maxIdle = provenFor
+	}
+	conn, err := pool.ConnectWithin(a.ctx, maxIdle)
+	if err != nil {
+		a.err, a.notRun = err, true
+		return
+	}
+	resp, out, err := conn.Exchange(a.ctx, a.request())
+	if err != nil {
+		a.err, a.notRun = err, out.BytesWritten == 0
+		return
+	}
+	a.resp = resp
+	a.notRun = resp.Header.Get(a.call.g.cfg.Protocol.NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+	if resp.ContentLength <= wholeResponse {
+		a.readWhole()
+	}
+}
+
+// readWhole reads a short body, or the first part of one of unknown length.
+func (a *attempt) readWhole() {
+	data, err := io.ReadAll(io.LimitReader(a.resp.Body, wholeResponse+1))
+	if err != nil {
+		a.err = err
+		a.closeBody()
+		return
+	}
+	a.whole = data
+	if len(data) <= wholeResponse {
+		a.isWhole = true
+		a.err = a.resp.Body.Close()
+	}
+}
+
+func (a *attempt) closeBody() {
+	// The error of the exchange is known already; closing ends the connection.
+	_ = a.resp.Body.Close()
+}
+
+// request returns the client's request as the upstream gets it.
+func (a *attempt) request() *http.Request {
+	c := a.call
+	header := c.r.Header.Clone()
+	hopheader.Remove(header)
+	p := &c.g.cfg.Protocol
+	header.Set(p.DeadlineHeader, strconv.FormatInt(max(1, c.timeLeft().Milliseconds()), 10))
+	header.Set(p.TargetHeader, a.candidate.ID)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""}
+	}
+	r := &http.Request{
+		Method: c.r.Method, Host: c.r.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL:  &url.URL{Scheme: "http", Host: a.candidate.Address, Opaque: c.r.RequestURI},
+		Body: http.NoBody,
+	}
+	if len(c.body) > 0 {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	}
+	return r
+}
+
+// outcome tells the balancer what the attempt says about the upstream.
+func (a *attempt) outcome() balancing.Outcome {
+	switch {
+	case a.resp != nil && a.resp.StatusCode == http.StatusMisdirectedRequest:
+		return balancing.Moved
+	case a.resp != nil && a.notRun:
+		return balancing.Shed
+	case errors.Is(a.err, upstreamconn.ErrDial):
+		return balancing.Unreachable
+	case errors.Is(a.err, upstreamconn.ErrMaxConnections):
+		return balancing.Shed
+	case errors.Is(a.err, context.Canceled):
+		return balancing.Abandoned
+	case a.err != nil || a.resp.StatusCode >= http.StatusInternalServerError:
+		return balancing.Failed
+	}
+	return balancing.Answered
+}
+
+// passable tells whether the attempt's response is the client's answer without a further try.
+func (a *attempt) passable(c *call) bool {
+	if a.err != nil || a.notRun {
+		if !a.notRun {
+			c.mayHaveRun = true
+		}
+		return false
+	}
+	c.mayHaveRun = true
+	return a.resp.StatusCode < http.StatusInternalServerError || !c.repeatable()
+}
+
+// deliverable tells whether the response is an upstream's own failure, which the client gets if no other try is possible.
+func (a *attempt) deliverable() bool { return a.err == nil && a.resp != nil && !a.notRun && a.isWhole }
+
+// failure tells what the client gets if no other attempt answers.
+func (a *attempt) failure() failure {
+	switch {
+	case a.notRun && errors.Is(a.err, upstreamconn.ErrDial):
+		return noUpstream
+	case a.notRun:
+		return upstreamRefused
+	case errors.Is(a.err, upstreamconn.ErrCut):
+		return connectionCut
+	case errors.Is(a.err, upstreamconn.ErrMalformed), errors.Is(a.err, upstreamconn.ErrMismatched):
+		return brokenResponse
+	}
+	return outcomeUnknown
+}
+
+// discard gives up a response that was not read to its end.
+func (a *attempt) discard() {
+	if a.resp != nil && !a.isWhole {
+		a.closeBody()
+	}
+	a.cancel()
+}
--- /dev/null
+++ b/internal/edge/call.go
@@ -0,0 +1,176 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/routing"
+)
+
+// call is one request of a client.
+type call struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	route    *routing.Route
+	service  *service
+	version  uint64 // of the configuration
+	arrived  time.Time
+	deadline time.Time // of the client and the route, whichever is earlier
+	body     []byte
+
+	// started counts the attempts; mayHaveRun tells that an upstream may have begun the request.
+	started    int
+	mayHaveRun bool
+	tried      []string
+}
+
+func (c *call) repeatable() bool { return c.route.Kind.Repeatable() }
+
+func (c *call) target() time.Duration {
+	return time.Duration(c.route.TargetLatencyMillis * float64(time.Millisecond))
+}
+
+func (c *call) preferences() balancing.Preferences {
+	return balancing.Preferences{
+		Zone: c.g.cfg.Zone, Target: c.target() - time.Since(c.arrived), Large: c.route.Kind == routing.Download, Exclude: c.tried,
+	}
+}
+
+// timeLeft is the time until the deadline.
+func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
+
+// run tries upstreams until one answers, and returns the attempt to pass on, or the reason why there is none.
+func (c *call) run(ctx context.Context) (*attempt, *failure) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	results := make(chan *attempt, c.route.MaxAttempts+1)
+	var running []*attempt
+	defer func() {
+		// What is still running lost against a hedge, or against the deadline.
+		for _, a := range running {
+			a.cancel()
+		}
+	}()
+	last := noUpstream
+	first, ok := c.start(ctx, results, true)
+	if !ok {
+		return nil, &last
+	}
+	running = append(running, first)
+	hedge := time.NewTimer(c.hedgeAfter())
+	defer hedge.Stop()
+	for len(running) > 0 {
+		select {
+		case a := <-results:
+			running = without(running, a)
+			if a.passable(c) {
+				return a, nil
+			}
+			last = a.failure()
+			a.discard()
+			if len(running) > 0 {
+				continue // the hedge may still answer
+			}
+			if next, ok := c.again(ctx, a, results); ok {
+				running = append(running, next)
+			} else if a.deliverable() {
+				return a, nil
+			}
+		case <-hedge.C:
+			if next, ok := c.hedge(ctx, results); ok {
+				running = append(running, next)
+			}
+		case <-ctx.Done():
+			return nil, c.expired(ctx)
+		}
+	}
+	if c.mayHaveRun && last.code < firstMayHaveRun {
+		last = outcomeUnknown
+	}
+	return nil, &last
+}
+
+// expired tells why a call without an answer ended: the client left, or the time is over.
+func (c *call) expired(ctx context.Context) *failure {
+	if ctx.Err() == context.Canceled {
+		return &clientLeft
+	}
+	return &deadlineAfterStart
+}
+
+// start picks an upstream and sends the request to it. With wait it waits a little for an upstream.
+func (c *call) start(ctx context.Context, results chan<- *attempt, wait bool) (*attempt, bool) {
+	until := c.arrived.Add(time.Duration(waitShare * float64(c.target())))
+	for {
+		candidate, ok := c.service.pick(ctx, c.preferences())
+		if ok {
+			c.started++
+			c.tried = append(c.tried, candidate.ID)
+			a := newAttempt(ctx, c, candidate)
+			go a.run(results)
+			return a, true
+		}
+		if !wait || !time.Now().Add(waitStep).Before(until) {
+			return nil, false
+		}
+		select {
+		case <-time.After(waitStep):
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// again sends the request to another upstream after an attempt failed, if it may run again and the bounds allow it.
+func (c *call) again(ctx context.Context, a *attempt, results chan<- *attempt) (*attempt, bool) {
+	if c.mayHaveRun && !c.repeatable() {
+		return nil, false
+	}
+	return c.extra(ctx, results)
+}
+
+// extra starts one more attempt.
+func (c *call) extra(ctx context.Context, results chan<- *attempt) (*attempt, bool) {
+	if c.started >= c.route.MaxAttempts || c.timeLeft() < c.minimumLeft() || ctx.Err() != nil {
+		return nil, false
+	}
+	if !c.service.budget.Take(time.Now()) {
+		return nil, false
+	}
+	return c.start(ctx, results, false)
+}
+
+// minimumLeft is the time below which another attempt has no prospect.
+func (c *call) minimumLeft() time.Duration {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	return c.service.balancer.Work() / 2
+}
+
+func (c *call) hedgeAfter() time.Duration {
+	c.service.mu.Lock()
+	defer c.service.mu.Unlock()
+	return c.service.balancer.HedgeAfter(c.target() - time.Since(c.arrived))
+}
+
+// hedge asks a second upstream because the first takes unusually long.
+func (c *call) hedge(ctx context.Context, results chan<- *attempt) (*attempt, bool) {
+	if !c.repeatable() {
+		return nil, false
+	}
+	return c.extra(ctx, results)
+}
+
+func without(attempts []*attempt, a *attempt) []*attempt {
+	rest := attempts[:0]
+	for _, other := range attempts {
+		if other != a {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/internal/edge/config.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Config configures a Gateway.
+type Config struct {
+	// Zone is the zone of the gateway.
+	Zone     string
+	Protocol Protocol
+	// RetryRatio, RetrySlack and RetryWindow bound the extra tries for each service over all gateways: in any window at most
+	// RetryRatio for each request, plus RetrySlack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdFactor and ColdSlack bound the requests to a cold upstream in any second, over all gateways: its own figure times
+	// ColdFactor, plus ColdSlack.
+	ColdFactor, ColdSlack float64
+	Log                   *zap.Logger
+}
+
+const (
+	// retryMargin leaves a part of the ratio unused, because the gateway's windows and the bound's begin at other times.
+	retryMargin = 0.8
+	// coldOwners is how many gateways may take a cold upstream for their share at a time, while their views differ.
+	coldOwners = 2
+	// defaultTimeout bounds a request that has neither a deadline nor a timeout of its route.
+	defaultTimeout = 30 * time.Second
+	// defaultMaxBody bounds a request body in bytes if the configuration does not.
+	defaultMaxBody = 1 << 20
+	// maxBuffered bounds the request bodies that a gateway holds, in bytes.
+	maxBuffered = 32 << 20
+	// wholeResponse is the length in bytes up to which a response is read completely before it is passed on, so that another
+	// upstream can be asked if it breaks off.
+	wholeResponse = 256 << 10
+	// idleUpstream is how long an idle connection to an upstream is kept; most upstreams close it after 10 s.
+	idleUpstream = 4 * time.Second
+	// dialTimeout bounds the opening of a connection to an upstream, which takes about 1 ms and a round trip.
+	dialTimeout = 150 * time.Millisecond
+	// provenFor is how recently a connection must have carried an exchange to carry a request that may run only once.
+	provenFor = 100 * time.Millisecond
+	// waitShare is the share of the latency objective for which a request waits for an upstream before it is refused.
+	waitShare = 0.12
+	// waitStep is the pause between two looks for an upstream.
+	waitStep = 10 * time.Millisecond
+	// retryAfter is told to refused clients: twice the shortest time for which an upstream is left alone.
+	retryAfter = 300 * time.Millisecond
+)
--- /dev/null
+++ b/internal/edge/failure.go
@@ -0,0 +1,31 @@
+package edge
+
+import "github.com/bramleypick/bramleypick/resultcode"
+
+// firstMayHaveRun is the first code that does not promise that a request did not run.
+const firstMayHaveRun resultcode.Code = 2000
+
+// failure is the reason why a client gets no upstream's answer.
+type failure struct {
+	code    resultcode.Code
+	message string
+	// retry tells that the client may come back after retryAfter.
+	retry bool
+}
+
+var (
+	noUpstream         = failure{resultcode.NoUpstream, "no upstream of the service can take work now", true}
+	upstreamRefused    = failure{resultcode.UpstreamRefused, "the upstream did not start the request", true}
+	notReady           = failure{resultcode.ControlUnavailable, "no configuration is known yet", true}
+	unknownRoute       = failure{resultcode.UnknownRoute, "no route matches the host and path", false}
+	bodyTooLarge       = failure{resultcode.RequestTooLarge, "the request body exceeds the limit", false}
+	malformedBody      = failure{resultcode.MalformedRequest, "the request body could not be read", false}
+	bufferFull         = failure{resultcode.QueueFull, "the gateway holds too many request bodies", true}
+	deadlinePassed     = failure{resultcode.DeadlineBeforeStart, "the deadline had passed on arrival", false}
+	outcomeUnknown     = failure{resultcode.OutcomeUnknown, "the upstream failed after it may have started the request", false}
+	connectionCut      = failure{resultcode.UpstreamConnectionCut, "the connection to the upstream was lost", false}
+	brokenResponse     = failure{resultcode.BrokenResponse, "the upstream's answer was not complete or not valid", false}
+	deadlineAfterStart = failure{resultcode.DeadlineAfterStart, "the deadline passed after the request was sent", false}
+	// clientLeft is never sent: there is nobody to read it.
+	clientLeft = failure{resultcode.DeadlineAfterStart, "the client left", false}
+)
--- /dev/null
+++ b/internal/edge/handler.go
@@ -0,0 +1,182 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/hopheader"
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	c := &call{g: g, w: w, r: r, arrived: time.Now(), id: r.Header.Get(g.cfg.Protocol.RequestIDHeader)}
+	if g.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if f := c.prepare(); f != nil {
+		c.refuse(f)
+		return
+	}
+	c.service.budget.FirstTry(time.Now())
+	a, f := c.run(r.Context())
+	if f != nil {
+		c.refuse(f)
+		return
+	}
+	defer a.discard()
+	c.respond(a)
+}
+
+// prepare finds the route and service and reads the body.
+func (c *call) prepare() *failure {
+	s := c.g.state.Load()
+	if s == nil {
+		return &notReady
+	}
+	c.version = s.version
+	c.route = s.table.Match(c.r.Host, c.r.URL.Path)
+	if c.route == nil {
+		return &unknownRoute
+	}
+	c.service = c.g.service(s.splitters[c.route].Next())
+	if c.service == nil {
+		return &noUpstream
+	}
+	c.setDeadline()
+	if c.timeLeft() <= 0 {
+		return &deadlinePassed
+	}
+	return c.readBody(s.maxBody)
+}
+
+func (c *call) setDeadline() {
+	timeout := defaultTimeout
+	if c.route.TimeoutMillis > 0 {
+		timeout = time.Duration(c.route.TimeoutMillis * float64(time.Millisecond))
+	}
+	if left, err := strconv.ParseFloat(c.r.Header.Get(c.g.cfg.Protocol.DeadlineHeader), 64); err == nil {
+		timeout = min(timeout, time.Duration(left*float64(time.Millisecond)))
+	}
+	c.deadline = c.arrived.Add(timeout)
+}
+
+// readBody reads the request body into memory, so that it can be sent more than once and a slow client holds no upstream.
+func (c *call) readBody(limit int64) *failure {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	if c.r.ContentLength > limit {
+		return &bodyTooLarge
+	}
+	reserve := max(c.r.ContentLength, 0)
+	if c.g.buffered.Add(reserve) > maxBuffered {
+		c.g.buffered.Add(-reserve)
+		return &bufferFull
+	}
+	defer c.g.buffered.Add(-reserve)
+	data, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	switch {
+	case err != nil:
+		return &malformedBody
+	case int64(len(data)) > limit:
+		return &bodyTooLarge
+	}
+	c.body = data
+	return nil
+}
+
+// respond passes the upstream's response on.
+func (c *call) respond(a *attempt) {
+	header := c.w.Header()
+	hopheader.Remove(a.resp.Header)
+	for name, values := range a.resp.Header {
+		header[name] = values
+	}
+	if _, ok := header["Date"]; !ok {
+		header["Date"] = nil // the upstream's header is passed on as it is
+	}
+	if a.isWhole && c.r.Method != http.MethodHead && bodyAllowed(a.resp.StatusCode) {
+		header.Set("Content-Length", strconv.Itoa(len(a.whole)))
+	}
+	c.w.WriteHeader(a.resp.StatusCode)
+	c.log("answered", a, nil)
+	if _, err := c.w.Write(a.whole); err != nil {
+		return // the client left
+	}
+	if a.isWhole {
+		return
+	}
+	stop := context.AfterFunc(c.r.Context(), a.cancel)
+	defer stop()
+	if _, err := io.Copy(c.w, a.resp.Body); err != nil {
+		c.g.cfg.Log.Warn("response broken off", zap.String("request", c.id), zap.String("upstream", a.candidate.ID), zap.Error(err))
+		panic(http.ErrAbortHandler) // so that what the client has does not look complete
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// refusal is the body of an answer of the gateway's own.
+type refusal struct {
+	Code    int    `json:"code"`
+	Name    string `json:"name"`
+	NotRun  bool   `json:"not_run"`
+	Message string `json:"message"`
+}
+
+// refuse answers without an upstream.
+func (c *call) refuse(f *failure) {
+	c.log("refused", nil, f)
+	if f == &clientLeft {
+		panic(http.ErrAbortHandler)
+	}
+	info, _ := f.code.Info()
+	body, err := json.Marshal(refusal{int(f.code), info.Name, info.NotRun, f.message})
+	if err != nil {
+		panic(err) // plain fields
+	}
+	header := c.w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.retry {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+	}
+	c.w.WriteHeader(info.HTTPStatus)
+	// An error means that the client left.
+	_, _ = c.w.Write(body)
+}
+
+// log writes the line that leads from a request's id to what was decided.
+func (c *call) log(outcome string, a *attempt, f *failure) {
+	fields := []zap.Field{
+		zap.String("request", c.id), zap.Uint64("config_version", c.version), zap.Int("attempts", c.started),
+		zap.Float64("ms", float64(time.Since(c.arrived).Microseconds())/1000),
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("route", c.route.Name))
+	}
+	if c.service != nil {
+		fields = append(fields, zap.String("service", c.service.name))
+	}
+	if len(c.tried) > 0 {
+		fields = append(fields, zap.Strings("upstreams", c.tried))
+	}
+	if a != nil {
+		fields = append(fields, zap.Int("status", a.resp.StatusCode), zap.Duration("estimate", a.candidate.Estimate),
+			zap.Duration("load_age", a.candidate.Age))
+	}
+	if f != nil {
+		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun))
+	}
+	c.g.cfg.Log.Info(outcome, fields...)
+}
--- /dev/null
+++ b/internal/edge/probe.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/bramleypick/bramleypick/balancing"
+)
+
+const (
+	// probeTimeout bounds a probe: 1 ms at the upstream and the longest round trip between zones, and as much again.
+	probeTimeout = 12 * time.Millisecond
+	// maxHealthBody bounds the body of a health response in bytes.
+	maxHealthBody = 4 << 10
+)
+
+// probe asks an upstream for its health and load.
+func (s *service) probe(ctx context.Context, c balancing.Candidate) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	began := time.Now()
+	header, status, err := s.askHealth(ctx, c)
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		if parent := context.Cause(ctx); parent != context.Canceled {
+			s.balancer.Lost(c.ID, now)
+		}
+		return
+	}
+	p := &s.cfg.Protocol
+	if id := header.Get(p.UpstreamHeader); id != "" && id != c.ID {
+		s.balancer.End(c.ID, balancing.Moved, 0, now)
+		return
+	}
+	s.balancer.ObserveProbe(c.ID, status == http.StatusOK, p.WarmupLeft(header), now.Sub(began), now)
+	load, ok := p.Load(header)
+	if ok {
+		s.balancer.Observe(c.ID, load, now)
+	}
+	s.reportsNo = !ok
+}
+
+func (s *service) askHealth(ctx context.Context, c balancing.Candidate) (http.Header, int, error) {
+	conn, err := s.pool(c.Address).Connect(ctx, false)
+	if err != nil {
+		return nil, 0, err
+	}
+	r := &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: c.Address, Path: s.healthPath}, Host: c.Address,
+		Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
+	}
+	resp, _, err := conn.Exchange(ctx, r)
+	if err != nil {
+		return nil, 0, err
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody))
+	if closeErr := resp.Body.Close(); err == nil {
+		err = closeErr
+	}
+	return resp.Header, resp.StatusCode, err
+}
--- /dev/null
+++ b/internal/edge/service.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/internal/upstreamconn"
+	"github.com/bramleypick/bramleypick/retrybudget"
+	"github.com/bramleypick/bramleypick/routing"
+)
+
+// service is one service in one gateway. The lock guards the balancer, which is not safe for concurrent use.
+type service struct {
+	cfg        Config
+	name       string
+	budget     *retrybudget.Window
+	mu         sync.Mutex
+	balancer   *balancing.Service
+	healthPath string
+	maxConns   int
+	pools      map[string]*upstreamconn.Pool // by address
+	reportsNo  bool                          // upstreams of the service report no load, so asking them tells nothing
+}
+
+func newService(cfg Config, name string) *service {
+	return &service{
+		cfg: cfg, name: name, balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
+	}
+}
+
+// update takes over the service's configuration and upstreams. The bounds over all gateways are divided among them.
+func (s *service) update(c *routing.Service, upstreams []balancing.Upstream, gateways int, now time.Time) {
+	s.budget.SetSlack(s.cfg.RetrySlack * retryMargin / float64(gateways))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthPath, s.maxConns = c.HealthPath, c.MaxConnections
+	cold := 0.0
+	if c.WarmupPerSecond > 0 {
+		bound := c.WarmupPerSecond*s.cfg.ColdFactor + s.cfg.ColdSlack
+		cold = min(c.WarmupPerSecond, bound/coldOwners-1)
+	}
+	s.balancer.Configure(balancing.Config{ColdPerSecond: cold})
+	s.balancer.SetUpstreams(upstreams, now)
+	current := make(map[string]bool, len(upstreams))
+	for _, u := range upstreams {
+		current[u.Address] = true
+	}
+	for address, pool := range s.pools {
+		if !current[address] {
+			pool.Close()
+			delete(s.pools, address)
+		}
+	}
+}
+
+// pool returns the connections to an address.
+func (s *service) pool(address string) *upstreamconn.Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[address]
+	if p == nil {
+		p = upstreamconn.NewPool(address, upstreamconn.Options{
+			MaxConnections: s.maxConns, DialTimeout: dialTimeout, IdleLimit: idleUpstream,
+			RequestIDHeader: s.cfg.Protocol.RequestIDHeader, AllowUnframed: true,
+		})
+		s.pools[address] = p
+	}
+	return p
+}
+
+// with runs f on the balancer.
+func (s *service) with(f func(*balancing.Service)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.balancer)
+}
--- /dev/null
+++ b/internal/entrynode/node.go
@@ -0,0 +1,200 @@
+package entrynode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/cluster"
+	"github.com/bramleypick/bramleypick/internal/edge"
+	"github.com/bramleypick/bramleypick/placement"
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+const (
+	// refreshInterval bounds how often changes of the cluster reach the data path, and how long a change without a signal
+	// takes, such as the end of a warm-up.
+	refreshInterval = 20 * time.Millisecond
+	refreshAtLeast  = time.Second
+	// readHeaderTimeout bounds the arrival of a client's header; clients may take the 3 s of the usual limits.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is how long an idle client connection is kept; clients may use one that was idle for 12 s.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a client's header.
+	maxHeaderBytes = 64 << 10
+	// Of the grace after SIGTERM, serveShare is spent serving clients that do not know yet, and the part up to finishShare
+	// finishing what is in flight.
+	serveShare  = 0.62
+	finishShare = 0.93
+)
+
+// Adapter speaks with the world outside for a Node.
+type Adapter interface {
+	// Protocol is what clients and upstreams speak beyond HTTP.
+	Protocol() edge.Protocol
+	// Handlers returns the handlers of the control, directory and ready addresses.
+	Handlers(n *Node) (control, directory, ready http.Handler)
+	// Reload reads the settings again. It is called every second.
+	Reload() (Settings, error)
+}
+
+// Node is the running process.
+type Node struct {
+	settings atomic.Pointer[Settings]
+	adapter  Adapter
+	log      *zap.Logger
+	cluster  *cluster.Cluster
+	gateway  *edge.Gateway
+	leaving  atomic.Bool
+}
+
+// New returns a node that is not running.
+func New(s Settings, a Adapter, log *zap.Logger) *Node {
+	n := &Node{adapter: a, log: log}
+	n.settings.Store(&s)
+	n.cluster = cluster.New(cluster.Config{
+		Self: roster.Node{
+			IP: s.IP, Incarnation: time.Now().UnixMilli(), Name: s.Name, Zone: s.Zone,
+			Entry: s.EntryAddress, Control: s.ControlAddress, Peer: s.PeerAddress,
+		},
+		Seeds:   func() []string { return append([]string(nil), n.settings.Load().SeedPeers...) },
+		DataDir: s.DataDir, Found: s.FirstStart, Log: log.Named("cluster"),
+	})
+	n.gateway = edge.New(edge.Config{
+		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Log: log.Named("edge"),
+	})
+	return n
+}
+
+// Run serves until ctx ends, and then stops gracefully. It fails if an address cannot be served or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.settings.Load()
+	n.log.Info("starting", zap.String("entry", s.EntryAddress), zap.Bool("disk", s.DataDir != ""), zap.Bool("first_start", s.FirstStart))
+	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	var duties sync.WaitGroup
+	duties.Go(func() {
+		if err := n.cluster.Run(running); err != nil {
+			cancel(err)
+		}
+	})
+	duties.Go(func() { n.refresh(running) })
+	duties.Go(func() { n.reload(running) })
+	control, directory, ready := n.adapter.Handlers(n)
+	entry := n.server(n.gateway)
+	servers := []*http.Server{entry, n.server(control), n.server(directory), n.server(ready)}
+	for i, address := range []string{s.EntryAddress, s.ControlAddress, s.DirectoryAddress, s.ReadyAddress} {
+		if address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			cancel(err)
+			duties.Wait()
+			return errors.Wrap(err, "listen")
+		}
+		go func() {
+			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				cancel(err)
+			}
+		}()
+	}
+	select {
+	case <-ctx.Done():
+		n.shutdown(running, entry)
+	case <-running.Done():
+	}
+	cause := context.Cause(running)
+	cancel(nil)
+	duties.Wait()
+	n.log.Info("stopped", zap.NamedError("cause", cause))
+	return cause
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(n.log.Named("http").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+}
+
+// shutdown leaves the directory, serves clients that still use this process, and finishes what is in flight.
+func (n *Node) shutdown(ctx context.Context, entry *http.Server) {
+	began, grace := time.Now(), n.settings.Load().ShutdownGrace
+	n.log.Info("stopping", zap.Duration("grace", grace))
+	n.leaving.Store(true)
+	n.cluster.SetState(roster.Leaving)
+	n.gateway.Close()
+	select {
+	case <-time.After(time.Duration(serveShare * float64(grace))):
+	case <-ctx.Done():
+	}
+	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(finishShare*float64(grace))))
+	defer cancel()
+	if err := entry.Shutdown(ctx); err != nil {
+		n.log.Warn("requests were still in flight at the end of the grace", zap.Error(err))
+	}
+}
+
+// refresh passes changes of the cluster on to the data path.
+func (n *Node) refresh(ctx context.Context) {
+	for {
+		n.update()
+		select {
+		case <-n.cluster.Changed():
+		case <-time.After(refreshAtLeast):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-time.After(refreshInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) update() {
+	var gateways []placement.Member
+	for _, node := range n.cluster.Nodes() {
+		if node.State == roster.Serving {
+			gateways = append(gateways, placement.Member{Name: node.IP, Zone: node.Zone})
+		}
+	}
+	self := n.cluster.Self()
+	n.gateway.Update(edge.World{
+		View: n.cluster.View(), Upstreams: n.cluster.Upstreams(), Gateways: gateways, Self: self.IP, InTouch: n.cluster.InTouch(),
+	}, time.Now())
+	if n.gateway.Ready() && self.State == roster.Starting {
+		n.log.Info("ready")
+		n.cluster.SetState(roster.Serving)
+	}
+}
+
+// reload reads the settings every second, because they may change without a signal.
+func (n *Node) reload(ctx context.Context) {
+	for {
+		select {
+		case <-time.After(refreshAtLeast):
+		case <-ctx.Done():
+			return
+		}
+		s, err := n.adapter.Reload()
+		if err != nil {
+			n.log.Warn("settings not reloaded", zap.Error(err))
+			continue
+		}
+		if old := n.settings.Load(); !slices.Equal(old.SeedPeers, s.SeedPeers) {
+			n.log.Info("seeds changed", zap.Strings("seeds", s.SeedPeers))
+			n.settings.Store(&s)
+		}
+	}
+}
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleypick/bramleypick/admission"
 	"github.com/bramleypick/bramleypick/controlstate"
+	"github.com/bramleypick/bramleypick/internal/hopheader"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -41,7 +42,7 @@
 
 // copyHeader copies a response header without what concerns the connection or the gateway alone.
 func copyHeader(c *call, from http.Header) {
-	removeHopHeaders(from)
+	hopheader.Remove(from)
 	to := c.w.Header()
 	if c.forwarded {
 		to.Set(headerFreeSlots, strconv.FormatInt(c.service.runtime.spare.Load(), 10))
@@ -99,7 +100,7 @@
 	if a.complete {
 		answer.Body = a.small
 		answer.Header = make(map[string][]string, len(a.resp.Header))
-		removeHopHeaders(a.resp.Header)
+		hopheader.Remove(a.resp.Header)
 		for name, values := range a.resp.Header {
 			if !strings.HasPrefix(name, "Bramleypick-") {
 				answer.Header[name] = values
--- a/internal/gateway/upstreamrequest.go
+++ b/internal/gateway/upstreamrequest.go
@@ -4,20 +4,14 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
 
 	"github.com/bramleypick/bramleypick/admission"
+	"github.com/bramleypick/bramleypick/internal/hopheader"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // newRequest returns the request to send to the upstream.
 func (a *attempt) newRequest() *http.Request {
 	r := a.c.outgoing()
@@ -29,7 +23,7 @@
 // outgoing returns a copy of the caller's request for an upstream or a peer.
 func (c *call) outgoing() *http.Request {
 	header := c.r.Header.Clone()
-	removeHopHeaders(header)
+	hopheader.Remove(header)
 	header.Del(headerHop)
 	header.Del("Expect")
 	header.Set(headerTimeout, c.remainingMillis())
@@ -49,17 +43,6 @@
 	return r
 }
 
-func removeHopHeaders(h http.Header) {
-	for _, listed := range h["Connection"] {
-		for name := range strings.SplitSeq(listed, ",") {
-			h.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(h, name)
-	}
-}
-
 // parseReport reads what an upstream says about itself in a response. A malformed load counts as none.
 func parseReport(h http.Header) admission.Report {
 	report := admission.Report{BootID: h.Get(headerBootID)}
--- /dev/null
+++ b/internal/nodelink/frame.go
@@ -0,0 +1,61 @@
+package nodelink
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// maxFrame bounds a frame in bytes. The largest are views with thousands of routes and snapshots.
+const maxFrame = 16 << 20
+
+type frameKind uint8
+
+const (
+	framePing  frameKind = 1
+	frameSend  frameKind = 2 // one-way
+	frameCall  frameKind = 3
+	frameReply frameKind = 4
+)
+
+// frame is the unit on a link: a length of 4 bytes, big endian, and this structure in CBOR.
+type frame struct {
+	Kind   frameKind `cbor:"1,keyasint"`
+	Call   uint64    `cbor:"2,keyasint,omitempty"`
+	Method Method    `cbor:"3,keyasint,omitempty"`
+	Body   []byte    `cbor:"4,keyasint,omitempty"`
+	// Error is the text of an error that the callee returned, in a reply.
+	Error string `cbor:"5,keyasint,omitempty"`
+}
+
+func (f frame) encode() ([]byte, error) {
+	body, err := cbor.Marshal(f)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode frame")
+	}
+	if len(body) > maxFrame {
+		return nil, errors.Errorf("frame of %d bytes is too large", len(body))
+	}
+	data := make([]byte, 4, 4+len(body))
+	binary.BigEndian.PutUint32(data, uint32(len(body)))
+	return append(data, body...), nil
+}
+
+func readFrame(r io.Reader) (frame, error) {
+	var f frame
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size > maxFrame {
+		return f, errors.Errorf("frame of %d bytes is too large", size)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return f, err
+	}
+	return f, errors.Wrap(cbor.Unmarshal(body, &f), "decode frame")
+}
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -10,11 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	requestIDHeader = "Bramleypick-Request-Id"
-	// maxInterim bounds the 1xx responses before the final one, so that an upstream cannot hold a request with them.
-	maxInterim = 16
-)
+// maxInterim bounds the 1xx responses before the final one, so that an upstream cannot hold a request with them.
+const maxInterim = 16
 
 var errReadAfterClose = errors.New("read after close of a response body")
 
@@ -80,15 +77,16 @@
 	return nil, errors.New("too many interim responses")
 }
 
-// checkHeader refuses a response to another request, and one whose end only the end of the connection would mark: a
-// connection that breaks would look the same.
+// checkHeader refuses a response to another request, and, unless the options allow it, one whose end only the end of the
+// connection would mark: behind some middleboxes a connection that breaks looks the same.
 func (x *exchange) checkHeader(resp *http.Response) error {
-	want, got := x.request.Header.Get(requestIDHeader), resp.Header.Get(requestIDHeader)
+	name := x.transport.pool.opts.RequestIDHeader
+	want, got := x.request.Header.Get(name), resp.Header.Get(name)
 	if want != "" && got != "" && got != want {
 		return newError(ErrMismatched, errors.Errorf("request id %q, want %q", got, want))
 	}
 	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
-	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
+	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody && !x.transport.pool.opts.AllowUnframed {
 		return newError(ErrMalformed, errors.New("the response has neither a length nor chunks"))
 	}
 	return nil
--- a/internal/upstreamconn/invariant_test.go
+++ b/internal/upstreamconn/invariant_test.go
@@ -183,7 +183,7 @@
 
 			r, err := http.NewRequest("POST", "http://"+u.listener.Addr().String()+"/status", strings.NewReader("question"))
 			is.NoErr(err)
-			r.Header.Set(requestIDHeader, "r1")
+			r.Header.Set(DefaultRequestIDHeader, "r1")
 			if test.change != nil {
 				test.change(r)
 			}
--- a/internal/upstreamconn/options.go
+++ b/internal/upstreamconn/options.go
@@ -16,6 +16,10 @@
 	IdleLimit time.Duration
 	// MaxHeaderBytes bounds the header of a response, in bytes. Default 64 KiB; zero means the default.
 	MaxHeaderBytes int
+	// RequestIDHeader names the header of the request's id, which a response may echo. Default DefaultRequestIDHeader.
+	RequestIDHeader string
+	// AllowUnframed accepts responses whose end is the orderly end of the connection. A connection that is reset is not one.
+	AllowUnframed bool
 	// Dial opens a connection. Default net.Dialer; nil means the default.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
@@ -26,6 +30,8 @@
 	DefaultDialTimeout    = time.Second
 	DefaultIdleLimit      = 30 * time.Second
 	DefaultMaxHeaderBytes = 64 << 10
+
+	DefaultRequestIDHeader = "Bramleypick-Request-Id"
 )
 
 func (o Options) withDefaults() Options {
@@ -41,6 +47,9 @@
 	if o.MaxHeaderBytes == 0 {
 		o.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
+	if o.RequestIDHeader == "" {
+		o.RequestIDHeader = DefaultRequestIDHeader
+	}
 	if o.Dial == nil {
 		o.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			var d net.Dialer
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -47,7 +47,17 @@
 // idle one is closed to make room if necessary. Connect does not wait for a connection to become free. Errors:
 // ErrMaxConnections, ErrDial, ErrClosed. The caller must call Exchange or Release on the result.
 func (p *Pool) Connect(ctx context.Context, fresh bool) (*Conn, error) {
-	t, err := p.take(fresh)
+	maxIdle := p.opts.IdleLimit
+	if fresh {
+		maxIdle = 0
+	}
+	return p.ConnectWithin(ctx, maxIdle)
+}
+
+// ConnectWithin is Connect with a reused connection only if it carried an exchange less than maxIdle ago. Zero means a new
+// connection.
+func (p *Pool) ConnectWithin(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+	t, err := p.take(maxIdle)
 	if err != nil {
 		return nil, err
 	}
@@ -62,16 +72,19 @@
 }
 
 // take returns an idle connection, or nil after it has reserved the place of a new one.
-func (p *Pool) take(fresh bool) (*transport, error) {
+func (p *Pool) take(maxIdle time.Duration) (*transport, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, newError(ErrClosed, nil)
 	}
 	now := time.Now()
-	for !fresh && len(p.idle) > 0 {
+	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		t := p.idle[last]
+		if now.Sub(t.idleSince) >= maxIdle {
+			break // the others are idle for longer
+		}
 		p.idle = slices.Delete(p.idle, last, last+1)
 		if p.usable(t, now) {
 			p.stats.Reused++
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,130 @@
+package registry
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// ForgetGone is how long the entry of an upstream that is gone is kept, so that a late announcement does not bring it back.
+// Announcements are seconds late at most; two minutes leave room for a partition.
+const ForgetGone = 2 * time.Minute
+
+// Registry is a set of entries. It is safe for concurrent use.
+type Registry struct {
+	mu       sync.Mutex
+	entries  map[string]*record
+	byOwner  map[string]string // address to the id of the upstream that has it now
+	revision uint64            // counts material changes
+}
+
+type record struct {
+	Entry
+	heard time.Time // when an announcement arrived last
+	since time.Time // when the entry changed materially
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{entries: make(map[string]*record), byOwner: make(map[string]string)}
+}
+
+// Merge takes over an entry if it is newer than what is known, and returns the entries that changed materially: the entry
+// itself, and the upstream that lost its address to it.
+func (r *Registry) Merge(e Entry, now time.Time) (changed []Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.entries[e.ID]
+	if old != nil && !e.supersedes(&old.Entry) {
+		return nil
+	}
+	if other := r.owner(e.Address, e.ID); other != nil && e.State != Gone {
+		if other.Born > e.Born {
+			e.State = Gone // a process that started later has the address
+		} else {
+			other.State, other.since = Gone, now
+			changed = append(changed, other.Entry)
+		}
+	}
+	rec := &record{Entry: e, heard: now, since: now}
+	if old != nil && !e.differs(&old.Entry) {
+		rec.since = old.since
+	} else {
+		changed = append(changed, e)
+	}
+	r.entries[e.ID] = rec
+	if e.Address != "" && e.State != Gone {
+		r.byOwner[e.Address] = e.ID
+	}
+	if len(changed) > 0 {
+		r.revision++
+	}
+	return changed
+}
+
+// owner returns another upstream that is not gone and has the address.
+func (r *Registry) owner(address, id string) *record {
+	other := r.entries[r.byOwner[address]]
+	if address == "" || other == nil || other.ID == id || other.State == Gone || other.Address != address {
+		return nil
+	}
+	return other
+}
+
+// Revision changes whenever an entry changed materially.
+func (r *Registry) Revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// Get returns an entry.
+func (r *Registry) Get(id string) (Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.entries[id]
+	if rec == nil {
+		return Entry{}, false
+	}
+	return rec.Entry, true
+}
+
+// All returns every entry sorted by id, with WarmupLeft as of now.
+func (r *Registry) All(now time.Time) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]Entry, 0, len(r.entries))
+	for _, rec := range r.entries {
+		e := rec.Entry
+		e.WarmupLeft = max(0, e.WarmupLeft-now.Sub(rec.heard))
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Entry) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Expire drops entries that are gone for ForgetGone, and marks those as gone that were not heard of for silent.
+func (r *Registry) Expire(now time.Time, silent time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, rec := range r.entries {
+		switch {
+		case rec.State == Gone && now.Sub(rec.since) >= ForgetGone:
+			delete(r.entries, id)
+			if r.byOwner[rec.Address] == id {
+				delete(r.byOwner, rec.Address)
+			}
+		case rec.State != Gone && silent > 0 && now.Sub(rec.heard) >= silent:
+			delete(r.entries, id) // not a tombstone: the next announcement brings it back
+			if r.byOwner[rec.Address] == id {
+				delete(r.byOwner, rec.Address)
+			}
+			r.revision++
+		}
+	}
+}
--- /dev/null
+++ b/registry/state.go
@@ -0,0 +1,11 @@
+package registry
+
+// State is what an upstream said about itself last.
+type State uint8
+
+// States in the order in which a process of an upstream goes through them.
+const (
+	Ready    State = 1
+	Draining State = 2 // Gets nothing new.
+	Gone     State = 3 // Deregistered, or another process took its address.
+)
--- a/resultcode/info.go
+++ b/resultcode/info.go
@@ -32,6 +32,7 @@
 	ShuttingDown:           {"shutting_down", true, http.StatusServiceUnavailable, "The gateway is shutting down."},
 	ControlUnavailable:     {"control_unavailable", true, http.StatusServiceUnavailable, "The claim could not be committed, and nothing was sent."},
 	TenantLimit:            {"tenant_limit", true, http.StatusTooManyRequests, "The tenant has as many requests waiting as it may have."},
+	UnknownRoute:           {"unknown_route", true, http.StatusNotFound, "No route matches the host and path."},
 
 	OutcomeUnknown:        {"outcome_unknown", false, http.StatusBadGateway, "The upstream failed after it may have started the request."},
 	ClaimRunning:          {"claim_running", false, http.StatusConflict, "A request with this idempotency key is running."},
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -25,6 +25,7 @@
 	ShuttingDown           Code = 1014
 	ControlUnavailable     Code = 1015
 	TenantLimit            Code = 1016
+	UnknownRoute           Code = 1017
 )
 
 // Codes of requests that may have run at an upstream (2xxx).
--- /dev/null
+++ b/roster/node.go
@@ -0,0 +1,29 @@
+package roster
+
+// Node is one process of the system.
+type Node struct {
+	// IP identifies the VM of the process.
+	IP string `cbor:"1,keyasint"`
+	// Incarnation is the start of the process in ms since the Unix epoch. A restart raises it.
+	Incarnation int64 `cbor:"2,keyasint"`
+	// Seq rises with each change of one incarnation.
+	Seq   uint64 `cbor:"3,keyasint"`
+	Name  string `cbor:"4,keyasint"`
+	Zone  string `cbor:"5,keyasint"`
+	State State  `cbor:"6,keyasint"`
+	// Entry is the address at which clients connect.
+	Entry string `cbor:"7,keyasint,omitempty"`
+	// Control is the address of the operators' interface.
+	Control string `cbor:"8,keyasint,omitempty"`
+	// Peer is the address at which other processes of the system connect.
+	Peer string `cbor:"9,keyasint"`
+	// ReplicaID is the id of the control replica in the process. Zero means none.
+	ReplicaID uint64 `cbor:"10,keyasint,omitempty"`
+}
+
+func (n *Node) supersedes(old *Node) bool {
+	if n.Incarnation != old.Incarnation {
+		return n.Incarnation > old.Incarnation
+	}
+	return n.Seq > old.Seq
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,111 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// ForgetDead is how long a node is remembered after everyone lost it.
+const ForgetDead = time.Minute
+
+// Roster is the merged view of the reports of all control replicas. It is safe for concurrent use.
+type Roster struct {
+	mu    sync.Mutex
+	nodes map[string]*record
+}
+
+type record struct {
+	node Node
+	// alive holds the reporters that see the incarnation alive.
+	alive map[string]bool
+	died  time.Time
+}
+
+// New returns an empty roster.
+func New() *Roster { return &Roster{nodes: make(map[string]*record)} }
+
+// Report takes over what a control replica, named by its peer address, says. It returns whether anything changed.
+func (r *Roster) Report(reporter string, report Report, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.nodes[report.Node.IP]
+	if rec == nil {
+		if !report.Alive {
+			return false
+		}
+		rec = &record{node: report.Node, alive: make(map[string]bool)}
+		r.nodes[report.Node.IP] = rec
+	}
+	changed := false
+	if report.Node.supersedes(&rec.node) {
+		if report.Node.Incarnation != rec.node.Incarnation {
+			clear(rec.alive)
+		}
+		rec.node, changed = report.Node, true
+	}
+	if report.Node.Incarnation != rec.node.Incarnation {
+		return false // about a former process
+	}
+	if rec.alive[reporter] == report.Alive {
+		return changed
+	}
+	if report.Alive {
+		rec.alive[reporter] = true
+	} else {
+		delete(rec.alive, reporter)
+		rec.died = now
+	}
+	return true
+}
+
+// Forget drops everything that a reporter said, because the connection to it is lost. Nodes that nobody else sees stay
+// alive until another replica contradicts: a process that is cut off keeps what it knew last.
+func (r *Roster) Forget(reporter string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range r.nodes {
+		if len(rec.alive) > 1 && rec.alive[reporter] {
+			delete(rec.alive, reporter)
+			rec.died = now
+		}
+	}
+}
+
+// Alive returns the nodes that at least one replica sees, sorted by IP.
+func (r *Roster) Alive() []Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alive := make([]Node, 0, len(r.nodes))
+	for _, rec := range r.nodes {
+		if len(rec.alive) > 0 {
+			alive = append(alive, rec.node)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Node) int { return strings.Compare(a.IP, b.IP) })
+	return alive
+}
+
+// Replica returns the node that runs a control replica, dead or alive.
+func (r *Roster) Replica(id uint64) (Node, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range r.nodes {
+		if rec.node.ReplicaID == id {
+			return rec.node, true
+		}
+	}
+	return Node{}, false
+}
+
+// Expire drops nodes that are dead for ForgetDead.
+func (r *Roster) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ip, rec := range r.nodes {
+		if len(rec.alive) == 0 && now.Sub(rec.died) >= ForgetDead {
+			delete(r.nodes, ip)
+		}
+	}
+}
--- /dev/null
+++ b/routing/patch.go
@@ -0,0 +1,53 @@
+package routing
+
+// Patch changes named items of the configuration.
+type Patch struct {
+	Version        uint64    `cbor:"1,keyasint"`
+	Base           uint64    `cbor:"2,keyasint,omitempty"`
+	UpsertRoutes   []Route   `cbor:"3,keyasint,omitempty"`
+	UpsertServices []Service `cbor:"4,keyasint,omitempty"`
+	RemoveRoutes   []string  `cbor:"5,keyasint,omitempty"`
+	RemoveServices []string  `cbor:"6,keyasint,omitempty"`
+	// Limits replaces the limits; nil keeps them.
+	Limits *Limits `cbor:"7,keyasint,omitempty"`
+}
+
+// Apply returns the configuration after the patch. c is not changed.
+func (p *Patch) Apply(c *Config) *Config {
+	next := &Config{Version: p.Version, Base: p.Base, Limits: c.Limits}
+	next.Routes = merge(c.Routes, p.UpsertRoutes, p.RemoveRoutes, func(r *Route) string { return r.Name })
+	next.Services = merge(c.Services, p.UpsertServices, p.RemoveServices, func(s *Service) string { return s.Name })
+	if p.Limits != nil {
+		next.Limits = *p.Limits
+	}
+	return next
+}
+
+// merge removes items by name, replaces those of the same name in place, and appends the new ones.
+func merge[T any](items, upsert []T, remove []string, name func(*T) string) []T {
+	removed := make(map[string]bool, len(remove))
+	for _, n := range remove {
+		removed[n] = true
+	}
+	replacement := make(map[string]*T, len(upsert))
+	for i := range upsert {
+		replacement[name(&upsert[i])] = &upsert[i]
+	}
+	merged := make([]T, 0, len(items)+len(upsert))
+	for i := range items {
+		n := name(&items[i])
+		if r := replacement[n]; r != nil {
+			merged = append(merged, *r)
+			delete(replacement, n)
+		} else if !removed[n] {
+			merged = append(merged, items[i])
+		}
+	}
+	for i := range upsert {
+		n := name(&upsert[i])
+		if replacement[n] == &upsert[i] {
+			merged = append(merged, upsert[i])
+		}
+	}
+	return merged
+}
--- /dev/null
+++ b/routing/validate.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"math"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Validate returns the first fault of a configuration, or nil.
+func (c *Config) Validate() error {
+	if c.Version == 0 {
+		return errors.New("version: must be above 0")
+	}
+	services := make(map[string]bool, len(c.Services))
+	for _, s := range c.Services {
+		if s.Name == "" || services[s.Name] {
+			return errors.Errorf("services: name %q is empty or repeated", s.Name)
+		}
+		services[s.Name] = true
+	}
+	names := make(map[string]bool, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Name == "" || names[r.Name] {
+			return errors.Errorf("routes: name %q is empty or repeated", r.Name)
+		}
+		names[r.Name] = true
+		if err := r.validate(services); err != nil {
+			return errors.Wrapf(err, "route %s", r.Name)
+		}
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[string]bool) error {
+	switch {
+	case r.Host == "":
+		return errors.New("host is empty")
+	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
+		return errors.Errorf("path prefix %q does not begin and end with a slash", r.PathPrefix)
+	case !r.Kind.known():
+		return errors.New("unknown kind")
+	case r.MaxAttempts < 1:
+		return errors.New("max attempts must be at least 1")
+	case r.TimeoutMillis < 0 || math.IsNaN(r.TimeoutMillis):
+		return errors.New("timeout is below 0")
+	}
+	total := 0.0
+	for _, s := range r.Shares() {
+		if !services[s.Service] {
+			return errors.Errorf("unknown service %q", s.Service)
+		}
+		if s.Weight < 0 || math.IsNaN(s.Weight) || math.IsInf(s.Weight, 0) {
+			return errors.New("a weight is below 0 or not a number")
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return errors.New("the weights add up to 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/routingstate/command.go
@@ -0,0 +1,43 @@
+package routingstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/routing"
+)
+
+// Command is one entry of the replicated log. Exactly one field is set.
+type Command struct {
+	Put      *routing.Config `cbor:"1,keyasint,omitempty"`
+	Patch    *routing.Patch  `cbor:"2,keyasint,omitempty"`
+	Evacuate *Evacuation     `cbor:"3,keyasint,omitempty"`
+}
+
+// Evacuation starts or ends the evacuation of an availability zone.
+type Evacuation struct {
+	Zone string `cbor:"1,keyasint"`
+	End  bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Result is the outcome of a Command.
+type Result struct {
+	Code    resultcode.Code `cbor:"1,keyasint"`
+	Message string          `cbor:"2,keyasint,omitempty"`
+	// Index is the log index of the state that contains the change.
+	Index uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the log entry of the command.
+func (c Command) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "encode command")
+}
+
+// DecodeResult reads what Machine.Apply returned.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	err := cbor.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "decode result")
+}
--- /dev/null
+++ b/routingstate/view.go
@@ -0,0 +1,33 @@
+package routingstate
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/routing"
+)
+
+// View is the state at one log index. It is immutable and shared.
+type View struct {
+	// Index is the log index of the last command that changed the state. Zero means that nothing was ever accepted.
+	Index uint64 `cbor:"1,keyasint"`
+	// Config is nil before the first configuration.
+	Config *routing.Config `cbor:"2,keyasint,omitempty"`
+	// Evacuated holds the zones whose upstreams get no requests.
+	Evacuated map[string]bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the view for another process.
+func (v *View) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	return data, errors.Wrap(err, "encode view")
+}
+
+// DecodeView reads what Encode returned.
+func DecodeView(data []byte) (*View, error) {
+	v := new(View)
+	if err := cbor.Unmarshal(data, v); err != nil {
+		return nil, errors.Wrap(err, "decode view")
+	}
+	return v, nil
+}
