--- a/cmd/bramleypick/entry.go
+++ b/cmd/bramleypick/entry.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -26,6 +28,9 @@
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			debug.SetGCPercent(entryGCPercent)
+			// SIGHUP tells that the settings file has changed. The file is read every second anyway, because it may also change
+			// without a signal, so the signal must only not end the process.
+			signal.Ignore(syscall.SIGHUP)
 			path := c.String("settings")
 			s, err := platform.LoadSettings(path)
 			if err != nil {
