--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -100,9 +100,6 @@
 	for name, values := range a.resp.Header {
 		header[name] = values
 	}
-	if _, ok := header["Date"]; !ok {
-		header["Date"] = nil // the upstream's header is passed on as it is
-	}
 	if a.isWhole && c.r.Method != http.MethodHead && bodyAllowed(a.resp.StatusCode) {
 		header.Set("Content-Length", strconv.Itoa(len(a.whole)))
 	}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleypick/bramleypick/internal/cluster"
 	"github.com/bramleypick/bramleypick/internal/edge"
+	"github.com/bramleypick/bramleypick/internal/pipeline"
 	"github.com/bramleypick/bramleypick/placement"
 	"github.com/bramleypick/bramleypick/roster"
 )
@@ -29,6 +30,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a client's header.
 	maxHeaderBytes = 64 << 10
+	// maxBodyBytes bounds a client's body whatever the configuration says, because bodies are held in memory.
+	maxBodyBytes = 16 << 20
 	// Of the grace after SIGTERM, serveShare is spent serving clients that do not know yet, and the part up to finishShare
 	// finishing what is in flight.
 	serveShare  = 0.62
@@ -89,8 +92,8 @@
 	duties.Go(func() { n.refresh(running) })
 	duties.Go(func() { n.reload(running) })
 	control, directory, ready := n.adapter.Handlers(n)
-	entry := n.server(n.gateway)
-	servers := []*http.Server{entry, n.server(control), n.server(directory), n.server(ready)}
+	entry := n.entryServer()
+	servers := []server{entry, n.server(control), n.server(directory), n.server(ready)}
 	for i, address := range []string{s.EntryAddress, s.ControlAddress, s.DirectoryAddress, s.ReadyAddress} {
 		if address == "" {
 			continue
@@ -119,6 +122,19 @@
 	return cause
 }
 
+// server serves one address.
+type server interface{ Serve(net.Listener) error }
+
+func (n *Node) entryServer() *pipeline.Server {
+	return &pipeline.Server{
+		Handler: n.gateway, IdleTimeout: idleTimeout, HeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxBodyBytes: maxBodyBytes,
+		Panicked: func(value any, stack []byte) {
+			n.log.Error("panic in a request", zap.Any("value", value), zap.ByteString("stack", stack))
+		},
+	}
+}
+
 func (n *Node) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -127,7 +143,7 @@
 }
 
 // shutdown leaves the directory, serves clients that still use this process, and finishes what is in flight.
-func (n *Node) shutdown(ctx context.Context, entry *http.Server) {
+func (n *Node) shutdown(ctx context.Context, entry *pipeline.Server) {
 	began, grace := time.Now(), n.settings.Load().ShutdownGrace
 	n.log.Info("stopping", zap.Duration("grace", grace))
 	n.leaving.Store(true)
--- /dev/null
+++ b/internal/pipeline/limit.go
@@ -0,0 +1,10 @@
+package pipeline
+
+import (
+	"errors"
+	"syscall"
+)
+
+func isDescriptorLimit(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
--- /dev/null
+++ b/internal/pipeline/server_test.go
@@ -0,0 +1,292 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// start serves a handler on loopback and returns the server and a client connection.
+func start(t *testing.T, h http.HandlerFunc) (*Server, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	s := &Server{Handler: h, IdleTimeout: time.Minute, HeaderTimeout: time.Minute, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 100}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() {
+		c.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		is.NoErr(s.Shutdown(ctx))
+		is.Equal(<-served, http.ErrServerClosed)
+	})
+	return s, c
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// readAnswer returns the status, the body and whether the connection ends behind the answer.
+func readAnswer(t *testing.T, in *bufio.Reader) (status int, body string, closes bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	is.New(t).NoErr(err)
+	data, err := io.ReadAll(resp.Body)
+	is.New(t).NoErr(err)
+	return resp.StatusCode, string(data), resp.Close
+}
+
+// Guards against requests that wait for the answer to an earlier one, and against answers in another order than the requests:
+// the first request ends only once the second one has begun.
+func TestPipelinedRequestsRunTogetherAndAnswerInOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/1":
+			<-second
+		case "/2":
+			close(second)
+		}
+		io.WriteString(w, r.URL.Path)
+	})
+	_, err := io.WriteString(c, get("/1")+get("/2")+get("/3"))
+	is.NoErr(err)
+	in := bufio.NewReader(c)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		status, body, closes := readAnswer(t, in)
+		is.Equal(status, 200)
+		is.Equal(body, want)
+		is.True(!closes)
+	}
+}
+
+// Guards against a request that was taken and gets no answer because an earlier answer closes the connection.
+func TestConnectionClosesBehindTheLastRequestTaken(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		io.WriteString(w, r.URL.Path)
+	})
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	is.NoErr(err)
+	in := bufio.NewReader(c)
+	_, body, closes := readAnswer(t, in)
+	is.Equal(body, "/1")
+	is.True(!closes)
+	_, body, closes = readAnswer(t, in)
+	is.Equal(body, "/2")
+	is.True(closes)
+	_, err = in.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against work for a client that has left while further requests of it wait in the connection.
+func TestContextEndsWhenTheClientLeaves(t *testing.T) {
+	is := is.New(t)
+	began, ended := make(chan struct{}, 2), make(chan struct{}, 2)
+	_, c := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-r.Context().Done()
+		ended <- struct{}{}
+		panic(http.ErrAbortHandler)
+	})
+	_, err := io.WriteString(c, get("/1")+get("/2"))
+	is.NoErr(err)
+	<-began
+	<-began
+	c.Close()
+	<-ended
+	<-ended
+}
+
+// Guards against an answer that ends early and looks complete.
+func TestShortAnswerIsAborted(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		handler     http.HandlerFunc
+	}{
+		{"shorter than declared", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			io.WriteString(w, "short")
+		}},
+		{"aborted after a part of unknown length", func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, strings.Repeat("x", 8<<10))
+			panic(http.ErrAbortHandler)
+		}},
+		{"aborted before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			_, c := start(t, test.handler)
+			_, err := io.WriteString(c, get("/"))
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			is.True(err != nil)
+		})
+	}
+}
+
+// Guards against input that is no proper request being passed on, or left without an answer.
+func TestImproperRequests(t *testing.T) {
+	for _, test := range []struct {
+		description, input string
+		status             int
+	}{
+		{"not HTTP", "hello\r\n\r\n", 400},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", 400},
+		{"header too large", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
+		{"body too large", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101), 413},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			handled := make(chan struct{}, 1)
+			_, c := start(t, func(http.ResponseWriter, *http.Request) { handled <- struct{}{} })
+			_, err := io.WriteString(c, test.input)
+			is.NoErr(err)
+			status, _, closes := readAnswer(t, bufio.NewReader(c))
+			is.Equal(status, test.status)
+			is.True(closes)
+			is.Equal(len(handled), 0)
+		})
+	}
+}
+
+// Guards against bodies that reach the handler incomplete, and against a client that waits for 100 Continue for ever.
+func TestBodies(t *testing.T) {
+	for _, test := range []struct{ description, header, sent, interim string }{
+		{"length", "Content-Length: 5\r\n", "hello", ""},
+		{"chunks", "Transfer-Encoding: chunked\r\n", "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", ""},
+		{"expectation", "Content-Length: 5\r\nExpect: 100-continue\r\n", "hello", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			_, c := start(t, func(w http.ResponseWriter, r *http.Request) {
+				data, err := io.ReadAll(r.Body)
+				if err == nil {
+					w.Write(data)
+				}
+			})
+			_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+test.header+"\r\n")
+			is.NoErr(err)
+			in := bufio.NewReader(c)
+			interim := make([]byte, len(test.interim))
+			_, err = io.ReadFull(in, interim)
+			is.NoErr(err)
+			is.Equal(string(interim), test.interim)
+			_, err = io.WriteString(c, test.sent)
+			is.NoErr(err)
+			_, body, _ := readAnswer(t, in)
+			is.Equal(body, "hello")
+		})
+	}
+}
+
+// Guards against a shutdown that cuts a request that was taken, or leaves an idle connection open.
+func TestShutdownAnswersWhatWasTaken(t *testing.T) {
+	is := is.New(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	s, c := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-release
+		io.WriteString(w, "answer")
+	})
+	_, err := io.WriteString(c, get("/"))
+	is.NoErr(err)
+	<-began
+	done := make(chan error, 1)
+	go func() { done <- s.Shutdown(t.Context()) }()
+	for {
+		s.mu.Lock()
+		closing := s.closing
+		s.mu.Unlock()
+		if closing {
+			break
+		}
+	}
+	close(release)
+	in := bufio.NewReader(c)
+	_, body, _ := readAnswer(t, in)
+	is.Equal(body, "answer")
+	c.Close()
+	is.NoErr(<-done)
+}
+
+// Guards against answers whose length or absence of a body a client cannot tell.
+func TestFraming(t *testing.T) {
+	for _, test := range []struct {
+		description, method string
+		status              int
+		length              string
+		body                string
+	}{
+		{"length", "GET", 200, "5", "hello"},
+		{"chunks", "GET", 200, "", "hello"},
+		{"no content", "GET", 204, "", ""},
+		{"not modified", "GET", 304, "", ""},
+		{"HEAD", "HEAD", 200, "5", ""},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			_, c := start(t, func(w http.ResponseWriter, _ *http.Request) {
+				if test.length != "" {
+					w.Header().Set("Content-Length", test.length)
+				}
+				w.WriteHeader(test.status)
+				io.WriteString(w, "hello")
+			})
+			in := bufio.NewReader(c)
+			for range 2 { // the second answer shows that the first one ended where it should
+				_, err := io.WriteString(c, test.method+" / HTTP/1.1\r\nHost: h\r\n\r\n")
+				is.NoErr(err)
+				resp, err := http.ReadResponse(in, &http.Request{Method: test.method})
+				is.NoErr(err)
+				data, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, test.status)
+				is.Equal(string(data), test.body)
+				if test.length != "" {
+					is.Equal(resp.Header.Get("Content-Length"), test.length)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a connection that is blocked for ever once as many requests as allowed are pending.
+func TestManyPipelinedRequests(t *testing.T) {
+	is := is.New(t)
+	const requests = 5 * maxPending
+	_, c := start(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.URL.Path) })
+	go func() {
+		for i := range requests {
+			io.WriteString(c, get("/"+strconv.Itoa(i)))
+		}
+	}()
+	in := bufio.NewReader(c)
+	for i := range requests {
+		_, body, _ := readAnswer(t, in)
+		is.Equal(body, "/"+strconv.Itoa(i))
+	}
+}
