--- /dev/null
+++ b/routingstate/machine_test.go
@@ -0,0 +1,123 @@
+package routingstate_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/routing"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+func config(version, base uint64, service string) *routing.Config {
+	return &routing.Config{
+		Version: version, Base: base, Services: []routing.Service{{Name: service}},
+		Routes: []routing.Route{{Name: "r", Host: "h", PathPrefix: "/", Kind: routing.Idempotent, MaxAttempts: 1, Service: service}},
+	}
+}
+
+func invalid(version, base uint64) *routing.Config {
+	c := config(version, base, "a")
+	c.Routes[0].MaxAttempts = 0
+	return c
+}
+
+func patch(version, base uint64, service string) *routing.Patch {
+	return &routing.Patch{Version: version, Base: base, UpsertServices: []routing.Service{{Name: service}}}
+}
+
+// apply applies commands in order and returns the code of the last one.
+func apply(t *testing.T, m *routingstate.Machine, index *uint64, c routingstate.Command) resultcode.Code {
+	t.Helper()
+	is := is.New(t)
+	data, err := c.Encode()
+	is.NoErr(err)
+	*index++
+	r, err := routingstate.DecodeResult(m.Apply(*index, data))
+	is.NoErr(err)
+	return r.Code
+}
+
+// Guards against two changes on top of one version both being accepted, against a resend that is refused, and against a change
+// that was refused being in force.
+func TestChanges(t *testing.T) {
+	put := func(c *routing.Config) routingstate.Command { return routingstate.Command{Put: c} }
+	change := func(p *routing.Patch) routingstate.Command { return routingstate.Command{Patch: p} }
+	first := put(config(3, 0, "a"))
+	for _, test := range []struct {
+		description string
+		commands    []routingstate.Command
+		code        resultcode.Code // of the last command
+		version     uint64          // in force afterwards
+	}{
+		{"first", []routingstate.Command{first}, resultcode.OK, 3},
+		{"first again", []routingstate.Command{first, first}, resultcode.OK, 3},
+		{"first again, after another", []routingstate.Command{first, put(config(9, 3, "b")), first}, resultcode.OK, 9},
+		{"next", []routingstate.Command{first, put(config(9, 3, "b"))}, resultcode.OK, 9},
+		{"same base twice", []routingstate.Command{first, put(config(9, 3, "b")), put(config(10, 3, "c"))}, resultcode.VersionConflict, 9},
+		{"same base and version, other content", []routingstate.Command{first, put(config(9, 3, "b")), put(config(9, 3, "c"))},
+			resultcode.VersionConflict, 9},
+		{"version not above the current one", []routingstate.Command{first, put(config(3, 3, "b"))}, resultcode.InvalidConfiguration, 3},
+		{"invalid", []routingstate.Command{first, put(invalid(9, 3))}, resultcode.InvalidConfiguration, 3},
+		{"unknown base", []routingstate.Command{first, put(config(9, 4, "b"))}, resultcode.VersionConflict, 3},
+		{"patch", []routingstate.Command{first, change(patch(9, 3, "b"))}, resultcode.OK, 9},
+		{"patch again", []routingstate.Command{first, change(patch(9, 3, "b")), change(patch(9, 3, "b"))}, resultcode.OK, 9},
+		{"patch on another version", []routingstate.Command{first, change(patch(9, 2, "b"))}, resultcode.VersionConflict, 3},
+		{"patch that makes it invalid", []routingstate.Command{first, change(&routing.Patch{Version: 9, Base: 3, RemoveServices: []string{"a"}})},
+			resultcode.InvalidConfiguration, 3},
+		{"two patches race", []routingstate.Command{first, change(patch(9, 3, "b")), change(patch(9, 3, "c"))}, resultcode.VersionConflict, 9},
+		{"empty command", []routingstate.Command{first, {}}, resultcode.MalformedCommand, 3},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			m := routingstate.New()
+			var index uint64
+			var code resultcode.Code
+			for _, c := range test.commands {
+				code = apply(t, m, &index, c)
+			}
+			is.Equal(code, test.code)
+			is.Equal(m.View().Config.Version, test.version)
+			is.NoErr(m.View().Config.Validate())
+		})
+	}
+}
+
+// Guards against an evacuation that is lost, doubled or not taken back, and against an index that does not rise with the state.
+func TestEvacuations(t *testing.T) {
+	is := is.New(t)
+	m := routingstate.New()
+	var index uint64
+	start := routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z"}}
+	end := routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z", End: true}}
+	for _, step := range []struct {
+		command   routingstate.Command
+		evacuated bool
+		changed   bool
+	}{{end, false, false}, {start, true, true}, {start, true, false}, {end, false, true}, {end, false, false}, {start, true, true}} {
+		before := m.View()
+		is.Equal(apply(t, m, &index, step.command), resultcode.OK)
+		is.Equal(m.View().Evacuated["z"], step.evacuated)
+		is.Equal(m.View().Index > before.Index, step.changed)
+	}
+}
+
+// Guards against state that a snapshot loses: the configuration, evacuations, and which changes were accepted.
+func TestSnapshot(t *testing.T) {
+	is := is.New(t)
+	m := routingstate.New()
+	var index uint64
+	first := routingstate.Command{Put: config(3, 0, "a")}
+	is.Equal(apply(t, m, &index, first), resultcode.OK)
+	is.Equal(apply(t, m, &index, routingstate.Command{Put: config(4, 3, "b")}), resultcode.OK)
+	is.Equal(apply(t, m, &index, routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z"}}), resultcode.OK)
+	data, err := m.Snapshot()
+	is.NoErr(err)
+	restored := routingstate.New()
+	is.NoErr(restored.Restore(data))
+	is.Equal(restored.View(), m.View())
+	is.Equal(apply(t, restored, &index, first), resultcode.OK) // still known as accepted
+	is.True(restored.Restore([]byte("x")) != nil)
+	is.Equal(restored.View(), m.View()) // unchanged by a snapshot that cannot be read
+}
