--- /dev/null
+++ b/balancing/load_test.go
@@ -0,0 +1,41 @@
+package balancing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lateTarget is the share of late answers that the project aims at on a calm day (0.97 of the benefit).
+const lateTarget = 0.03
+
+// Load: the status desk on a day of high load, 19 upstreams of which a quarter are seven times slower for half a second at a
+// time, and 20 gateways with few requests each. Guards against requests that are sent to an upstream that is slow now. Asking
+// the best candidates just before sending must serve callers better than what the gateways know by themselves.
+func TestCallersGetAnswersInTimeFromNoisyHosts(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		perSecond   float64
+	}{
+		{"calm", 60},
+		{"high load", 130},
+		{"burst", 220},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				s := simulation{
+					seed: seed, hosts: 19, gateways: 20, perSecond: test.perSecond, slowShare: 0.25,
+					target: 250 * time.Millisecond, length: 30 * time.Second,
+				}
+				before := s.run()
+				s.probe = true
+				after := s.run()
+				t.Logf("seed %d: in time %.3f without asking, %.3f with", seed, before.share(), after.share())
+				is.True(1-after.share() <= lateTarget)
+				is.True(after.share() > before.share())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/balancing/simulation_test.go
@@ -0,0 +1,148 @@
+package balancing
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// host is an upstream on a shared host. In each period of 500 ms it is slow with some probability.
+type host struct {
+	id, zone string
+	slots    int
+	running  int
+	queue    []*job
+	slow     func(period int64) bool
+}
+
+const (
+	noisePeriod = 500 * time.Millisecond
+	noiseFactor = 7
+)
+
+func (h *host) pace(now time.Duration) float64 {
+	if h.slow(int64(now / noisePeriod)) {
+		return noiseFactor
+	}
+	return 1
+}
+
+func (h *host) load(now time.Duration) Load {
+	return Load{Running: h.running, Waiting: len(h.queue), Slots: h.slots, Pace: h.pace(now)}
+}
+
+type job struct {
+	arrived time.Duration
+	work    time.Duration
+	gateway int
+	host    *host
+	ends    time.Duration
+}
+
+type jobs []*job
+
+func (j jobs) Len() int           { return len(j) }
+func (j jobs) Less(a, b int) bool { return j[a].ends < j[b].ends }
+func (j jobs) Swap(a, b int)      { j[a], j[b] = j[b], j[a] }
+func (j *jobs) Push(x any)        { *j = append(*j, x.(*job)) }
+func (j *jobs) Pop() any {
+	old := *j
+	last := old[len(old)-1]
+	*j = old[:len(old)-1]
+	return last
+}
+
+// simulation plays requests of several gateways against noisy hosts, in virtual time. What a request costs is fixed when it
+// starts: work times the pace at that moment.
+type simulation struct {
+	seed      uint64
+	hosts     int
+	gateways  int
+	perSecond float64
+	slowShare float64
+	target    time.Duration
+	length    time.Duration
+	// probe asks the best candidates before sending, as the gateways do.
+	probe bool
+}
+
+// result counts what callers got.
+type result struct{ requests, inTarget int }
+
+func (r result) share() float64 { return float64(r.inTarget) / float64(r.requests) }
+
+func (s simulation) run() result {
+	random := rand.New(rand.NewPCG(s.seed, 7))
+	epoch := time.Unix(1_800_000_000, 0)
+	hosts := make(map[string]*host)
+	var upstreams []Upstream
+	for i := range s.hosts {
+		id := fmt.Sprintf("u%02d", i)
+		noise := rand.New(rand.NewPCG(s.seed, uint64(i)+100))
+		var slow []bool
+		for range s.length/noisePeriod + 100 {
+			slow = append(slow, noise.Float64() < s.slowShare)
+		}
+		hosts[id] = &host{id: id, zone: "z", slots: 3, slow: func(p int64) bool { return slow[min(p, int64(len(slow)-1))] }}
+		upstreams = append(upstreams, Upstream{ID: id, Address: id, Zone: "z", Born: 1, Slots: 3})
+	}
+	services := make([]*Service, s.gateways)
+	for i := range services {
+		services[i] = New()
+		services[i].SetUpstreams(upstreams, epoch)
+	}
+	var running jobs
+	var r result
+	finish := func(until time.Duration) {
+		for len(running) > 0 && running[0].ends <= until {
+			j := heap.Pop(&running).(*job)
+			now := epoch.Add(j.ends)
+			took := j.ends - j.arrived
+			services[j.gateway].End(j.host.id, Answered, took, now)
+			j.host.running--
+			if len(j.host.queue) > 0 {
+				next := j.host.queue[0]
+				j.host.queue = j.host.queue[1:]
+				next.ends = j.ends + time.Duration(float64(next.work)*j.host.pace(j.ends))
+				j.host.running++
+				heap.Push(&running, next)
+			}
+			services[j.gateway].Observe(j.host.id, j.host.load(j.ends), now)
+			if took <= s.target {
+				r.inTarget++
+			}
+		}
+	}
+	p := Preferences{Zone: "z", Target: s.target}
+	for at := time.Duration(0); at < s.length; at += time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)) {
+		finish(at)
+		gateway := random.IntN(s.gateways)
+		service, now := services[gateway], epoch.Add(at)
+		ranked := service.Rank(p, now)
+		for round := 0; s.probe && round < 3 && !ranked[0].Fresh(); round++ {
+			asked := 0
+			for _, c := range ranked {
+				if !c.Fresh() && asked < 2 {
+					asked++
+					service.ObserveProbe(c.ID, true, 0, time.Millisecond, now)
+					service.Observe(c.ID, hosts[c.ID].load(at), now)
+				}
+			}
+			ranked = service.Rank(p, now)
+		}
+		h := hosts[ranked[0].ID]
+		service.Begin(h.id, now)
+		j := &job{arrived: at, gateway: gateway, host: h, work: time.Duration((0.7 + 0.6*random.Float64()) * float64(90*time.Millisecond))}
+		r.requests++
+		if h.running < h.slots {
+			h.running++
+			j.ends = at + time.Duration(float64(j.work)*h.pace(at))
+			heap.Push(&running, j)
+		} else {
+			h.queue = append(h.queue, j)
+		}
+	}
+	finish(1 << 62)
+	return r
+}
--- a/cmd/bramleypick/entry.go
+++ b/cmd/bramleypick/entry.go
@@ -6,12 +6,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/internal/entrynode"
 	"github.com/bramleypick/bramleypick/platform"
 )
@@ -19,6 +21,9 @@
 // entryGCPercent trades processor time for memory: an entry process allocates little, and its memory is the dearer of the two.
 const entryGCPercent = 50
 
+// logCloseLimit bounds the writing of the last lines, so that a log that nobody reads does not hold up the exit.
+const logCloseLimit = 200 * time.Millisecond
+
 func entryCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "entry",
@@ -37,7 +42,9 @@
 				return err
 			}
 			encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-			log := zap.New(plainErrors{zapcore.NewCore(encoder, zapcore.Lock(os.Stdout), zap.InfoLevel)})
+			sink := asynclog.NewSink(os.Stdout)
+			defer sink.Close(logCloseLimit)
+			log := zap.New(plainErrors{zapcore.NewCore(encoder, sink, zap.InfoLevel)})
 			node := entrynode.New(s, platform.Adapter{SettingsPath: path}, log.With(zap.String("vm", s.Name)))
 			return errors.Wrap(node.Run(ctx), "entry")
 		},
--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,298 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/roster"
+	"github.com/bramleypick/bramleypick/routing"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+// settle bounds how long a test waits for processes to agree. An election takes up to 1.2 s; the rest is room for a machine
+// that does other work.
+const settle = 30 * time.Second
+
+// process is one process of a deployment in a test.
+type process struct {
+	*Cluster
+	cfg    Config
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// freePeer returns a loopback address for peers that nothing uses. Each process has an IP of its own, as on real VMs.
+func freePeer(t *testing.T, n int) roster.Node {
+	t.Helper()
+	ip := fmt.Sprintf("127.0.%d.%d", 10+n/200, 1+n%200)
+	l, err := net.Listen("tcp", ip+":0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return roster.Node{IP: ip, Name: "vm" + strconv.Itoa(n), Zone: "z" + strconv.Itoa(n%3), Peer: l.Addr().String()}
+}
+
+func startProcess(t *testing.T, cfg Config) *process {
+	t.Helper()
+	cfg.Self.Incarnation = time.Now().UnixNano()
+	p := &process{Cluster: New(cfg), cfg: cfg, done: make(chan error, 1)}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(context.Background())
+	go func() { p.done <- p.Run(ctx) }()
+	p.SetState(roster.Serving)
+	t.Cleanup(func() { p.stop(t) })
+	return p
+}
+
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.cancel = nil
+	is.New(t).NoErr(<-p.done)
+}
+
+// deployment starts replicas and other processes that know only the replicas' addresses.
+func deployment(t *testing.T, replicas, others int) []*process {
+	t.Helper()
+	nodes := make([]roster.Node, replicas+others)
+	var seeds []string
+	for i := range nodes {
+		nodes[i] = freePeer(t, i)
+		if i < min(replicas, 3) {
+			seeds = append(seeds, nodes[i].Peer)
+		}
+	}
+	all := make([]*process, 0, len(nodes))
+	for i, n := range nodes {
+		cfg := Config{Self: n, Seeds: func() []string { return append([]string(nil), seeds...) }, Log: zap.NewNop()}
+		if i < replicas {
+			cfg.DataDir, cfg.Found = t.TempDir(), true
+		}
+		all = append(all, startProcess(t, cfg))
+	}
+	return all
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.After(settle)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !condition() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatal("did not happen: " + what)
+		}
+	}
+}
+
+func voters(p *process) int {
+	r := p.runningReplica()
+	if r == nil {
+		return 0
+	}
+	return len(r.node.Status().Membership.Voters)
+}
+
+func put(version, base uint64) routingstate.Command {
+	return routingstate.Command{Put: &routing.Config{Version: version, Base: base, Services: []routing.Service{{Name: "s"}}}}
+}
+
+// submit sends a change again until its outcome is known, as operators do.
+func submit(t *testing.T, p *process, c routingstate.Command) resultcode.Code {
+	t.Helper()
+	var code resultcode.Code
+	eventually(t, "a clear result", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r, err := p.Submit(ctx, c)
+		code = r.Code
+		return err == nil
+	})
+	return code
+}
+
+func versionAt(p *process) uint64 {
+	if c := p.View().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func read(t *testing.T, p *process) uint64 {
+	t.Helper()
+	var version uint64
+	eventually(t, "a read", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		v, err := p.Read(ctx)
+		if err != nil || v.Config == nil {
+			return false
+		}
+		version = v.Config.Version
+		return true
+	})
+	return version
+}
+
+// Guards against deployments of any size that do not find together from three addresses, and against a change that is
+// accepted and does not reach everybody.
+func TestProcessesFindTogether(t *testing.T) {
+	for _, replicas := range []int{1, 2, 3, 6} {
+		t.Run(strconv.Itoa(replicas), func(t *testing.T) {
+			is := is.New(t)
+			all := deployment(t, replicas, 3)
+			for _, p := range all {
+				eventually(t, "everybody sees everybody", func() bool { return len(p.Nodes()) == len(all) })
+			}
+			is.Equal(submit(t, all[replicas], put(7, 0)), resultcode.OK)
+			for _, p := range all {
+				eventually(t, "the change reaches everybody", func() bool { return versionAt(p) == 7 })
+				is.Equal(read(t, p), uint64(7))
+			}
+			eventually(t, "every replica votes", func() bool { return voters(all[0]) == replicas })
+		})
+	}
+}
+
+// Guards against losing an accepted change, or accepting none any more, when a replica loses its disk or is replaced at another
+// address, and against a wiped replica that votes under its old id.
+func TestReplicaIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		moved       bool // comes back at another address
+	}{{"lost disk", false}, {"other address", true}} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			all := deployment(t, 3, 1)
+			eventually(t, "every replica votes", func() bool { return voters(all[0]) == 3 })
+			is.Equal(submit(t, all[3], put(1, 0)), resultcode.OK)
+			old := all[0].Self().ReplicaID
+			all[0].stop(t)
+			cfg := all[0].cfg
+			cfg.DataDir, cfg.Found = t.TempDir(), false
+			if test.moved {
+				cfg.Self = freePeer(t, 100)
+			}
+			fresh := startProcess(t, cfg)
+			eventually(t, "the new replica votes and the old one is gone", func() bool {
+				r := fresh.runningReplica()
+				if r == nil {
+					return false
+				}
+				m := r.node.Status().Membership
+				return len(m.Voters) == 3 && m.IsVoter(r.id) && uint64(r.id) != old
+			})
+			is.Equal(read(t, fresh), uint64(1))
+			// The group must bear the next loss.
+			all[1].stop(t)
+			is.Equal(submit(t, all[3], put(2, 1)), resultcode.OK)
+			is.Equal(read(t, fresh), uint64(2))
+		})
+	}
+}
+
+// Guards against losing accepted changes when every process is killed at once, and against founding a second group afterwards.
+func TestAllProcessesRestart(t *testing.T) {
+	is := is.New(t)
+	all := deployment(t, 3, 1)
+	is.Equal(submit(t, all[3], put(1, 0)), resultcode.OK)
+	is.Equal(submit(t, all[3], routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z1"}}), resultcode.OK)
+	eventually(t, "every replica votes", func() bool { return voters(all[0]) == 3 })
+	for _, p := range all {
+		p.stop(t)
+	}
+	for i, p := range all {
+		all[i] = startProcess(t, p.cfg) // the settings still permit founding
+	}
+	is.Equal(read(t, all[3]), uint64(1))
+	for _, p := range all {
+		eventually(t, "the state reaches everybody", func() bool { return versionAt(p) == 1 && p.View().Evacuated["z1"] })
+	}
+}
+
+// Guards against reads of an old configuration and against false acknowledgements by a replica that cannot reach the others.
+func TestMinorityRefuses(t *testing.T) {
+	is := is.New(t)
+	all := deployment(t, 3, 0)
+	eventually(t, "every replica votes", func() bool { return voters(all[0]) == 3 && voters(all[2]) == 3 })
+	is.Equal(submit(t, all[0], put(1, 0)), resultcode.OK)
+	all[1].stop(t)
+	all[2].stop(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := all[0].Read(ctx)
+	is.True(err != nil)
+	_, err = all[0].Submit(ctx, put(2, 1))
+	is.True(err != nil)
+	leaving := registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", State: registry.Draining, Born: 1, Seq: 2}
+	is.True(all[0].Announce(ctx, leaving) != nil) // a drain that nobody else knows
+	ready := leaving
+	ready.ID, ready.Address, ready.State = "v", "10.0.0.2:80", registry.Ready
+	is.NoErr(all[0].Announce(ctx, ready)) // its next announcement reaches the others
+}
+
+// Guards against upstreams and drains that some process does not learn of, whichever process heard them.
+func TestAnnouncementsReachEverybody(t *testing.T) {
+	is := is.New(t)
+	all := deployment(t, 3, 2)
+	eventually(t, "every replica votes", func() bool { return voters(all[0]) == 3 })
+	e := registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z1", State: registry.Ready, Born: 1, Seq: 1}
+	steps := []struct {
+		at    *process
+		entry registry.Entry
+		state registry.State
+	}{
+		{all[4], e, registry.Ready},
+		{all[1], registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z1", State: registry.Draining, Born: 1, Seq: 2}, registry.Draining},
+		{all[3], registry.Entry{ID: "u", State: registry.Gone}, registry.Gone}, // a deregistration names the id only
+		{all[2], e, registry.Gone}, // late
+	}
+	for _, step := range steps {
+		eventually(t, "an acknowledgement", func() bool {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			return step.at.Announce(ctx, step.entry) == nil
+		})
+		for _, p := range all {
+			eventually(t, "everybody knows", func() bool {
+				known, ok := p.registry.Get("u")
+				return ok && known.State == step.state
+			})
+		}
+	}
+	is.Equal(len(all[0].Upstreams()), 1)
+}
+
+// Guards against clients being sent to a process that was killed or that leaves.
+func TestLostAndLeavingProcesses(t *testing.T) {
+	all := deployment(t, 3, 2)
+	for _, p := range all {
+		eventually(t, "everybody sees everybody", func() bool { return len(p.Nodes()) == len(all) })
+	}
+	all[3].SetState(roster.Leaving)
+	all[4].stop(t)
+	eventually(t, "one leaves and one is gone", func() bool {
+		nodes := all[0].Nodes()
+		leaving := 0
+		for _, n := range nodes {
+			if n.State == roster.Leaving {
+				leaving++
+			}
+		}
+		return len(nodes) == 4 && leaving == 1
+	})
+}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/placement"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/routing"
@@ -20,6 +21,8 @@
 	closing  atomic.Bool
 	buffered atomic.Int64
 	inFlight sync.WaitGroup
+	// logBudget bounds the lines about requests that were answered at the first try.
+	logBudget asynclog.Budget
 
 	mu       sync.Mutex
 	services map[string]*service
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -155,6 +155,9 @@
 
 // log writes the line that leads from a request's id to what was decided.
 func (c *call) log(outcome string, a *attempt, f *failure) {
+	if a != nil && a.resp.StatusCode < http.StatusInternalServerError && c.started == 1 && !c.g.logBudget.Allow(c.id, time.Now()) {
+		return
+	}
 	fields := []zap.Field{
 		zap.String("request", c.id), zap.Uint64("config_version", c.version), zap.Int("attempts", c.started),
 		zap.Float64("ms", float64(time.Since(c.arrived).Microseconds())/1000),
