--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -16,6 +16,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// LinkBitsPerSecond is the speed of the VM's link; zero means unknown.
+	LinkBitsPerSecond float64
 	// ColdFactor and ColdSlack bound the requests to a cold upstream in any second, over all gateways: its own figure times
 	// ColdFactor, plus ColdSlack.
 	ColdFactor, ColdSlack float64
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/bramleypick/bramleypick/balancing"
@@ -26,33 +25,52 @@
 )
 
 // pick chooses an upstream and records that a request is being sent to it. It asks the best candidates for their load
-// unless that is known.
+// unless that is known, and goes on as soon as one of the answers is good.
 func (s *service) pick(ctx context.Context, p balancing.Preferences) (balancing.Candidate, verdict) {
 	for round := 0; ; round++ {
-		s.mu.Lock()
-		now := time.Now()
-		ranked := s.balancer.Rank(p, now)
-		ask := round < maxRounds && !s.reportsNo && s.healthPath != "" && ctx.Err() == nil
-		best, ok := choose(ranked, p, ask)
-		if ok && best.Verified && (best.Fresh() || !ask) {
-			s.balancer.Begin(best.ID, now)
-			s.mu.Unlock()
-			return best, picked
+		ask := round < maxRounds && s.canAsk() && ctx.Err() == nil
+		best, stale, v := s.look(p, ask)
+		if v == picked || !ask || len(stale) == 0 {
+			return best, v
 		}
-		s.mu.Unlock()
-		stale := worthAsking(ranked, best, ok)
-		if !ask || len(stale) == 0 {
-			if len(ranked) == 0 {
-				return best, absent
-			}
-			return best, overloaded
-		}
-		var probes sync.WaitGroup
+		answered := make(chan struct{}, len(stale))
 		for _, c := range stale {
-			probes.Go(func() { s.probe(ctx, c) })
+			go func() {
+				s.probe(ctx, c)
+				answered <- struct{}{}
+			}()
 		}
-		probes.Wait()
+		for range stale {
+			<-answered
+			if best, _, v := s.look(p, true); v == picked {
+				return best, v
+			}
+		}
+	}
+}
+
+// canAsk tells whether probes say anything about the upstreams of the service.
+func (s *service) canAsk() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.reportsNo && s.healthPath != ""
+}
+
+// look picks an upstream if enough is known, and otherwise returns those worth asking. Without ask it takes what is known.
+func (s *service) look(p balancing.Preferences, ask bool) (best balancing.Candidate, stale []balancing.Candidate, v verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	ranked := s.balancer.Rank(p, now)
+	best, ok := choose(ranked, p, ask)
+	switch {
+	case ok && best.Verified && (best.Fresh() || !ask):
+		s.balancer.Begin(best.ID, now)
+		return best, nil, picked
+	case len(ranked) == 0:
+		return best, nil, absent
 	}
+	return best, worthAsking(ranked, best, ok), overloaded
 }
 
 // choose returns the first candidate that admits the request. Without a further round of probes it must be verified.
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -13,13 +13,23 @@
 const (
 	// probeTimeout bounds a probe: 1 ms at the upstream and the longest round trip between zones, and as much again.
 	probeTimeout = 12 * time.Millisecond
+	// linkQueueBytes is what may stand before a probe's answer on the gateway's own link: the window of a download.
+	linkQueueBytes = 64 << 10
 	// maxHealthBody bounds the body of a health response in bytes.
 	maxHealthBody = 4 << 10
 )
 
+// timeoutOfProbes is probeTimeout, and the time that the queue of the own link takes. Zero link speed means unknown.
+func timeoutOfProbes(linkBitsPerSecond float64) time.Duration {
+	if linkBitsPerSecond <= 0 {
+		return probeTimeout
+	}
+	return probeTimeout + time.Duration(linkQueueBytes*8/linkBitsPerSecond*float64(time.Second))
+}
+
 // probe asks an upstream for its health and load.
 func (s *service) probe(ctx context.Context, c balancing.Candidate) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeoutOfProbes(s.cfg.LinkBitsPerSecond))
 	defer cancel()
 	began := time.Now()
 	header, status, err := s.askHealth(ctx, c)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -72,7 +72,7 @@
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, Log: log.Named("edge"),
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, LinkBitsPerSecond: s.LinkBitsPerSecond, Log: log.Named("edge"),
 	})
 	return n
 }
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -32,6 +32,8 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the extra tries for a service over all gateways.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// LinkBitsPerSecond is the speed of the VM's link; zero means unknown.
+	LinkBitsPerSecond float64
 	// ColdFactor and ColdSlack bound the requests to a cold upstream in a second over all gateways.
 	ColdFactor, ColdSlack float64
 }
