edge: pace long responses on slow links

Cause: a download of 90 KB holds a link of 6.6 Mbit/s for 109 ms in each direction, and short responses behind it came late.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -72,21 +72,22 @@
 	}
 	a.resp = resp
 	a.notRun = resp.Header.Get(a.call.g.cfg.Protocol.NotRunHeader) != "" || resp.StatusCode == http.StatusMisdirectedRequest
-	if resp.ContentLength <= wholeResponse {
+	if resp.ContentLength <= a.call.g.bulk.wholeLimit() {
 		a.readWhole()
 	}
 }
 
 // readWhole reads a short body, or the first part of one of unknown length.
 func (a *attempt) readWhole() {
-	data, err := io.ReadAll(io.LimitReader(a.resp.Body, wholeResponse+1))
+	limit := a.call.g.bulk.wholeLimit()
+	data, err := io.ReadAll(io.LimitReader(a.resp.Body, limit+1))
 	if err != nil {
 		a.err = err
 		a.closeBody()
 		return
 	}
 	a.whole = data
-	if len(data) <= wholeResponse {
+	if int64(len(data)) <= limit {
 		a.isWhole = true
 		a.err = a.resp.Body.Close()
 	}
--- /dev/null
+++ b/internal/edge/bulk.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// bulk paces long responses on a VM with a slow link. Without it a download fills the link's queue, and every short response
+// behind it arrives 100 ms later.
+type bulk struct{ limiter *rate.Limiter }
+
+// newBulk returns nil if the link needs no pacing.
+func newBulk(linkBitsPerSecond float64) *bulk {
+	if linkBitsPerSecond <= 0 || linkBitsPerSecond >= slowLink {
+		return nil
+	}
+	return &bulk{rate.NewLimiter(rate.Limit(linkBitsPerSecond/8*bulkShare), bulkChunk)}
+}
+
+// wholeLimit is the length up to which responses are read completely before they are passed on.
+func (b *bulk) wholeLimit() int64 {
+	if b == nil {
+		return wholeResponse
+	}
+	return wholeOnSlowLink
+}
+
+// copy passes the rest of a response on.
+func (b *bulk) copy(ctx context.Context, w io.Writer, body io.Reader) error {
+	if b == nil {
+		_, err := io.Copy(w, body)
+		return err
+	}
+	buffer := make([]byte, bulkChunk)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			if waitErr := b.limiter.WaitN(ctx, n); waitErr != nil {
+				return errors.Wrap(waitErr, "pace the response")
+			}
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return errors.Wrap(writeErr, "write the response")
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// dial opens a connection to an upstream, with a small window on a slow link.
+func (b *bulk) dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil || b == nil {
+		return conn, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetReadBuffer(bulkReadBuffer); err != nil {
+			conn.Close()
+			return nil, err
+		}
+	}
+	return conn, nil
+}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -38,6 +38,16 @@
 	// wholeResponse is the length in bytes up to which a response is read completely before it is passed on, so that another
 	// upstream can be asked if it breaks off.
 	wholeResponse = 256 << 10
+	// slowLink is the link speed in bit/s below which long responses are paced. At 50 Mbit/s a download of 90 KB takes 14 ms.
+	slowLink = 50e6
+	// bulkShare is the share of a slow link that long responses may use together, so that short ones find it free.
+	bulkShare = 0.75
+	// bulkChunk is the part of a long response that is sent at a time on a slow link: 5 ms at 6.6 Mbit/s.
+	bulkChunk = 4 << 10
+	// wholeOnSlowLink takes the place of wholeResponse on a slow link, where reading a long response first costs 100 ms.
+	wholeOnSlowLink = 16 << 10
+	// bulkReadBuffer bounds what an upstream may send ahead on a slow link, in bytes.
+	bulkReadBuffer = 16 << 10
 	// idleUpstream is how long an idle connection to an upstream is kept; most upstreams close it after 10 s.
 	idleUpstream = 4 * time.Second
 	// dialTimeout bounds the opening of a connection to an upstream, which takes about 1 ms and a round trip.
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -21,6 +21,7 @@
 	closing  atomic.Bool
 	buffered atomic.Int64
 	inFlight sync.WaitGroup
+	bulk     *bulk
 	// logBudget bounds the lines about requests that were answered at the first try.
 	logBudget asynclog.Budget
 
@@ -31,7 +32,7 @@
 
 // New returns a gateway that refuses everything until Update.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, services: make(map[string]*service)}
+	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond)}
 }
 
 // World is what a gateway must know besides its configuration.
@@ -68,7 +69,7 @@
 		c := &w.View.Config.Services[i]
 		s := g.services[c.Name]
 		if s == nil {
-			s = newService(g.cfg, c.Name)
+			s = newService(g.cfg, c.Name, g.bulk)
 			g.services[c.Name] = s
 		}
 		s.update(c, byService[c.Name], max(1, len(w.Gateways)), now)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -113,7 +113,7 @@
 	}
 	stop := context.AfterFunc(c.r.Context(), a.cancel)
 	defer stop()
-	if _, err := io.Copy(c.w, a.resp.Body); err != nil {
+	if err := c.g.bulk.copy(a.ctx, c.w, a.resp.Body); err != nil {
 		c.g.cfg.Log.Warn("response broken off", zap.String("request", c.id), zap.String("upstream", a.candidate.ID), zap.Error(err))
 		panic(http.ErrAbortHandler) // so that what the client has does not look complete
 	}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -14,6 +14,7 @@
 type service struct {
 	cfg        Config
 	name       string
+	bulk       *bulk
 	budget     *retrybudget.Window
 	mu         sync.Mutex
 	balancer   *balancing.Service
@@ -23,9 +24,9 @@
 	reportsNo  bool                          // upstreams of the service report no load, so asking them tells nothing
 }
 
-func newService(cfg Config, name string) *service {
+func newService(cfg Config, name string, b *bulk) *service {
 	return &service{
-		cfg: cfg, name: name, balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		cfg: cfg, name: name, bulk: b, balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
@@ -64,6 +65,7 @@
 		p = upstreamconn.NewPool(address, upstreamconn.Options{
 			MaxConnections: s.maxConns, DialTimeout: dialTimeout, IdleLimit: idleUpstream,
 			RequestIDHeader: s.cfg.Protocol.RequestIDHeader, AllowUnframed: true,
+			Dial: s.bulk.dial,
 		})
 		s.pools[address] = p
 	}
