--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,282 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/placement"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+// Guards against a request that may run only once reaching a second upstream although the first may have begun it, against a
+// refusal that is not true, and against giving up where another upstream could still answer. In each row every upstream
+// answers alike, so that the number of arrivals is the number of attempts.
+func TestAttempts(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		path        string
+		answer      http.HandlerFunc
+		status      int
+		code        resultcode.Code // of the gateway's own answers
+		arrivals    int
+	}{
+		{"once, answered", "/once/1", fine, 200, 0, 1},
+		{"once, failed", "/once/1", failed, 500, 0, 1},
+		{"once, cut", "/once/1", cut, 502, resultcode.UpstreamConnectionCut, 1},
+		{"once, shorter than declared", "/once/1", short, 502, resultcode.UpstreamConnectionCut, 1},
+		{"once, answer to another request", "/once/1", otherID, 502, resultcode.BrokenResponse, 1},
+		{"once, not run", "/once/1", shed, 503, resultcode.UpstreamRefused, 2},
+		{"once, address of another upstream", "/once/1", misdirected, 503, resultcode.UpstreamRefused, 2},
+		{"idempotent, answered", "/idempotent/1", fine, 200, 0, 1},
+		{"idempotent, failed", "/idempotent/1", failed, 500, 0, 2},
+		{"idempotent, cut", "/idempotent/1", cut, 502, resultcode.UpstreamConnectionCut, 2},
+		{"idempotent, shorter than declared", "/idempotent/1", short, 502, resultcode.UpstreamConnectionCut, 2},
+		{"idempotent, answer to another request", "/idempotent/1", otherID, 502, resultcode.BrokenResponse, 2},
+		{"idempotent, not run", "/idempotent/1", shed, 503, resultcode.UpstreamRefused, 2},
+		{"download, cut", "/download/1", cut, 502, resultcode.UpstreamConnectionCut, 2},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			a, b, c := newUpstream(t, "a", test.answer), newUpstream(t, "b", test.answer), newUpstream(t, "c", test.answer)
+			g := newGateway(t, world(a.entry(), b.entry(), c.entry()))
+			w := send(t, g, test.path, nil)
+			is.Equal(w.Code, test.status)
+			is.Equal(a.arrivals()+b.arrivals()+c.arrivals(), test.arrivals)
+			is.True(max(a.arrivals(), b.arrivals(), c.arrivals()) == 1) // never the same one twice
+			if test.code == 0 {
+				is.Equal(w.Header().Get(testID), "id1")
+				return
+			}
+			var body refusal
+			is.NoErr(json.Unmarshal(w.Body.Bytes(), &body))
+			is.Equal(resultcode.Code(body.Code), test.code)
+			is.Equal(w.Header().Get("Retry-After") != "", body.NotRun) // told to come back only if nothing has run
+		})
+	}
+}
+
+// Guards against a truthful refusal after one attempt that may have run: the second one's word is not enough.
+func TestRefusalAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	answers := make(chan http.HandlerFunc, 2)
+	answers <- cut
+	answers <- shed
+	next := func(w http.ResponseWriter, r *http.Request) { (<-answers)(w, r) }
+	a, b := newUpstream(t, "a", next), newUpstream(t, "b", next)
+	w := send(t, newGateway(t, world(a.entry(), b.entry())), "/idempotent/1", nil)
+	is.Equal(w.Code, http.StatusBadGateway)
+	is.Equal(w.Header().Get("Retry-After"), "")
+}
+
+// Guards against requests that reach an upstream changed, with more time than is left, or without its name.
+func TestWhatUpstreamsGet(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "a", fine)
+	g := newGateway(t, world(u.entry()))
+	w := send(t, g, "/once/%2Fx?q=1&q=2", func(r *http.Request) {
+		r.Header.Set(testDeadline, "1500")
+		r.Header.Set("Connection", "X-Hop")
+		r.Header.Set("X-Hop", "1")
+		r.Header.Set("X-Kept", "1")
+	})
+	is.Equal(w.Code, 200)
+	r := u.requests[0]
+	is.Equal(r.Method, http.MethodPost)
+	is.Equal(r.RequestURI, "/once/%2Fx?q=1&q=2")
+	is.Equal(r.Host, "h")
+	is.Equal(u.bodies[0], "body")
+	is.Equal(r.Header.Get(testID), "id1")
+	is.Equal(r.Header.Get(testTarget), "a")
+	is.Equal(r.Header.Get("X-Hop"), "")
+	is.Equal(r.Header.Get("X-Kept"), "1")
+	is.Equal(len(r.Header["User-Agent"]), 0)
+	left, err := strconv.Atoi(r.Header.Get(testDeadline))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 1500)
+}
+
+// Guards against answers that reach the client changed.
+func TestAnswersAreUnchanged(t *testing.T) {
+	for _, size := range []int{0, 10, wholeResponse + 1} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			is := is.New(t)
+			body := make([]byte, size)
+			for i := range body {
+				body[i] = byte('a' + i%26)
+			}
+			u := newUpstream(t, "a", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Signature", "s")
+				w.WriteHeader(http.StatusAccepted)
+				w.Write(body)
+			})
+			w := send(t, newGateway(t, world(u.entry())), "/idempotent/1", nil)
+			is.Equal(w.Code, http.StatusAccepted)
+			is.Equal(w.Header().Get("X-Signature"), "s")
+			is.Equal(w.Body.String(), string(body))
+		})
+	}
+}
+
+// Guards against a long answer that breaks off and looks complete to the client.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(2*wholeResponse))
+		w.Write(make([]byte, wholeResponse))
+		panic(http.ErrAbortHandler)
+	})
+	w := send(t, newGateway(t, world(u.entry())), "/download/1", nil)
+	is.Equal(w.Code, 0) // aborted
+}
+
+// Guards against new requests to upstreams that must get none.
+func TestUpstreamsThatGetNothing(t *testing.T) {
+	for _, test := range []struct {
+		description string
+		change      func(*registry.Entry, *World)
+		served      bool
+	}{
+		{"ready", func(*registry.Entry, *World) {}, true},
+		{"draining", func(e *registry.Entry, _ *World) { e.State = registry.Draining }, false},
+		{"gone", func(e *registry.Entry, _ *World) { e.State = registry.Gone }, false},
+		{"evacuated zone", func(_ *registry.Entry, w *World) {
+			view := *w.View
+			view.Evacuated = map[string]bool{"z": true}
+			w.View = &view
+		}, false},
+		{"of another service", func(e *registry.Entry, _ *World) { e.Service = "other" }, false},
+		{"cold, this gateway's share", func(e *registry.Entry, _ *World) { e.WarmupLeft = time.Minute }, true},
+		{"cold, another gateway's share", func(e *registry.Entry, w *World) {
+			e.WarmupLeft = time.Minute
+			w.Self = "other"
+		}, false},
+		{"cold, out of touch", func(e *registry.Entry, w *World) {
+			e.WarmupLeft = time.Minute
+			w.InTouch = false
+		}, false},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			u := newUpstream(t, "a", fine)
+			if test.change != nil {
+				u.warmup = 0
+			}
+			e, w := u.entry(), world()
+			test.change(&e, &w)
+			if e.WarmupLeft > 0 {
+				u.warmup = int(e.WarmupLeft.Milliseconds())
+			}
+			w.Upstreams = []registry.Entry{e}
+			g := newGateway(t, w)
+			// A cold upstream's first token comes after a tenth of a second; the request waits for it.
+			got := send(t, g, "/idempotent/1", nil)
+			is.Equal(got.Code == 200, test.served)
+			is.Equal(u.arrivals() == 1, test.served)
+			if !test.served {
+				is.Equal(got.Code, http.StatusServiceUnavailable)
+			}
+		})
+	}
+}
+
+// Guards against a client that waits longer than its route allows, and against an upstream that works on for nothing.
+func TestTimeout(t *testing.T) {
+	for _, path := range []string{"/once/1", "/idempotent/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			u := newUpstream(t, "a", func(w http.ResponseWriter, r *http.Request) {
+				hang(w, r)
+				close(ended)
+			})
+			began := time.Now()
+			w := send(t, newGateway(t, world(u.entry())), path, func(r *http.Request) { r.Header.Set(testDeadline, "300") })
+			is.Equal(w.Code, http.StatusGatewayTimeout)
+			is.True(time.Since(began) >= 300*time.Millisecond)
+			<-ended
+		})
+	}
+}
+
+// Guards against work at upstreams for a client that has left.
+func TestClientLeaves(t *testing.T) {
+	is := is.New(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	u := newUpstream(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		hang(w, r)
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	w := send(t, newGateway(t, world(u.entry())), "/idempotent/1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+	is.Equal(w.Code, 0)
+	<-ended
+	is.Equal(u.arrivals(), 1)
+}
+
+// Guards against a slow upstream that holds a request which another one could answer in time, and against the slow one working on.
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{}, 1)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			hang(w, r)
+			ended <- struct{}{}
+		default:
+			fine(w, r)
+		}
+	}
+	a, b := newUpstream(t, "a", answer), newUpstream(t, "b", answer)
+	w := send(t, newGateway(t, world(a.entry(), b.entry())), "/idempotent/1", nil)
+	is.Equal(w.Code, 200)
+	<-ended
+	is.Equal(a.arrivals()+b.arrivals(), 2)
+}
+
+// Guards against requests being refused as unknown before any configuration is known, and against proper ones being refused after.
+func TestRoutes(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "a", fine)
+	g := New(Config{Zone: "z", Protocol: testProtocol()})
+	is.True(!g.Ready())
+	g = newGateway(t, World{View: &routingstate.View{}, Gateways: []placement.Member{}})
+	is.Equal(send(t, g, "/idempotent/1", nil).Code, http.StatusServiceUnavailable)
+	g.Update(world(u.entry()), time.Now())
+	is.True(g.Ready())
+	is.Equal(send(t, g, "/idempotent/1", nil).Code, 200)
+	is.Equal(send(t, g, "/unknown/1", nil).Code, http.StatusNotFound)
+	is.Equal(send(t, g, "/idempotent/1", func(r *http.Request) { r.Host = "other" }).Code, http.StatusNotFound)
+	g.Close()
+	w := send(t, g, "/idempotent/1", nil)
+	is.Equal(w.Code, 200)
+	is.Equal(w.Header().Get("Connection"), "close")
+}
+
+// Guards against more extra tries than the budget permits.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	a, b := newUpstream(t, "a", failed), newUpstream(t, "b", failed)
+	g := newGateway(t, world(a.entry(), b.entry()))
+	const requests = 100
+	for range requests {
+		send(t, g, "/idempotent/1", nil)
+	}
+	extra := a.arrivals() + b.arrivals() - requests
+	is.True(extra > 10)
+	is.True(float64(extra) <= 0.2*requests+20)
+}
--- /dev/null
+++ b/internal/edge/harness_test.go
@@ -0,0 +1,182 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/placement"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/routing"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+// Header names of the protocol in these tests.
+const (
+	testID       = "Test-Id"
+	testDeadline = "Test-Deadline"
+	testTarget   = "Test-Target"
+	testNotRun   = "Test-Not-Run"
+	testUpstream = "Test-Upstream"
+	testWarmup   = "Test-Warmup"
+	testLoad     = "Test-Load"
+)
+
+func testProtocol() Protocol {
+	return Protocol{
+		RequestIDHeader: testID, DeadlineHeader: testDeadline, TargetHeader: testTarget, NotRunHeader: testNotRun,
+		UpstreamHeader: testUpstream,
+		Load: func(h http.Header) (balancing.Load, bool) {
+			l := balancing.Load{Slots: 3, Pace: 1}
+			_, err := fmt.Sscanf(h.Get(testLoad), "%d", &l.Running)
+			return l, err == nil
+		},
+		WarmupLeft: func(h http.Header) time.Duration {
+			ms, err := strconv.Atoi(h.Get(testWarmup))
+			if err != nil {
+				return 0
+			}
+			return time.Duration(ms) * time.Millisecond
+		},
+	}
+}
+
+// fakeUpstream records the requests that reach it and answers them with a script.
+type fakeUpstream struct {
+	id     string
+	server *httptest.Server
+	warmup int // ms, in health responses
+	answer http.HandlerFunc
+
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+}
+
+func newUpstream(t *testing.T, id string, answer http.HandlerFunc) *fakeUpstream {
+	u := &fakeUpstream{id: id, answer: answer}
+	u.server = httptest.NewServer(u)
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+// ServeHTTP implements http.Handler.
+func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testLoad, "0")
+	if r.URL.Path == "/health" {
+		w.Header().Set(testUpstream, u.id)
+		if u.warmup > 0 {
+			w.Header().Set(testWarmup, strconv.Itoa(u.warmup))
+		}
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	u.requests = append(u.requests, r)
+	u.bodies = append(u.bodies, string(body))
+	u.mu.Unlock()
+	w.Header().Set(testID, r.Header.Get(testID))
+	u.answer(w, r)
+}
+
+func (u *fakeUpstream) arrivals() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.requests)
+}
+
+func (u *fakeUpstream) entry() registry.Entry {
+	return registry.Entry{
+		ID: u.id, Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), Zone: "z", Slots: 3, State: registry.Ready, Born: 1,
+	}
+}
+
+// Answers of upstreams.
+func fine(w http.ResponseWriter, _ *http.Request)   { io.WriteString(w, "answer") }
+func failed(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+func misdirected(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+func cut(http.ResponseWriter, *http.Request)             { panic(http.ErrAbortHandler) }
+func short(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "10")
+	io.WriteString(w, "answer")
+}
+func otherID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(testID, "other")
+	fine(w, r)
+}
+
+// hang answers only once the gateway has closed the connection.
+func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// world is a configuration with one route of each kind, below /idempotent/, /once/ and /download/.
+func world(entries ...registry.Entry) World {
+	route := func(name string, kind routing.Kind) routing.Route {
+		return routing.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, TimeoutMillis: 5000, TargetLatencyMillis: 2000,
+			MaxAttempts: 2, Service: "s",
+		}
+	}
+	return World{
+		View: &routingstate.View{Index: 1, Config: &routing.Config{
+			Version: 1, Services: []routing.Service{{Name: "s", HealthPath: "/health", WarmupPerSecond: 10}},
+			Routes: []routing.Route{route("idempotent", routing.Idempotent), route("once", routing.NonIdempotent), route("download", routing.Download)},
+		}},
+		Upstreams: entries, Gateways: []placement.Member{{Name: "g", Zone: "z"}}, Self: "g", InTouch: true,
+	}
+}
+
+func newGateway(t *testing.T, w World) *Gateway {
+	g := New(Config{
+		Zone: "z", Protocol: testProtocol(), RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
+		ColdFactor: 1.5, ColdSlack: 5, Log: zap.NewNop(),
+	})
+	g.Update(w, time.Now())
+	return g
+}
+
+// send sends a request to a gateway as a client would.
+func send(t *testing.T, g *Gateway, path string, change func(*http.Request)) *httptest.ResponseRecorder {
+	t.Helper()
+	method, body := http.MethodGet, io.Reader(nil)
+	if strings.HasPrefix(path, "/once/") {
+		method, body = http.MethodPost, strings.NewReader("body")
+	}
+	r := httptest.NewRequest(method, "http://h"+path, body)
+	r.RequestURI = path
+	r.Header.Set(testID, "id1")
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	r = r.WithContext(ctx)
+	if change != nil {
+		change(r)
+	}
+	w := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if p := recover(); p != nil {
+				is.New(t).Equal(p, http.ErrAbortHandler)
+				w.Code = 0 // the connection is aborted
+			}
+		}()
+		g.ServeHTTP(w, r)
+	}()
+	return w
+}
