--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/replog"
 	"github.com/bramleypick/bramleypick/roster"
 	"github.com/bramleypick/bramleypick/routingstate"
 	"github.com/bramleypick/bramleypick/vfs"
@@ -135,6 +136,19 @@
 	return len(c.dialed) > 0
 }
 
+// Links returns the number of open links to control replicas.
+func (c *Cluster) Links() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.dialed)
+}
+
+// Leads tells whether this process runs the replica that leads the control group.
+func (c *Cluster) Leads() bool {
+	r := c.runningReplica()
+	return r != nil && r.node.Status().Role == replog.RoleLeader
+}
+
 // SetState tells everybody that this process is ready or leaves.
 func (c *Cluster) SetState(s roster.State) {
 	c.changeSelf(func(n *roster.Node) { n.State = s })
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -125,7 +125,7 @@
 	}
 	for _, entry := range changed {
 		c.log.Info("upstream", zap.String("upstream", entry.ID), zap.String("service", entry.Service),
-			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Uint8("state", uint8(entry.State)),
+			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Stringer("state", entry.State),
 			zap.Int64("born", entry.Born), zap.Uint64("seq", entry.Seq))
 	}
 	c.markEntries(changed)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -142,7 +142,11 @@
 	if c.mayHaveRun && !c.repeatable() {
 		return nil, false
 	}
-	return c.extra(ctx, results)
+	next, ok := c.extra(ctx, results)
+	if ok {
+		c.service.metrics.retries.Inc(1)
+	}
+	return next, ok
 }
 
 // extra starts one more attempt.
@@ -178,7 +182,11 @@
 	if !c.repeatable() {
 		return nil, false
 	}
-	return c.extra(ctx, results)
+	next, ok := c.extra(ctx, results)
+	if ok {
+		c.service.metrics.hedges.Inc(1)
+	}
+	return next, ok
 }
 
 func without(attempts []*attempt, a *attempt) []*attempt {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -21,7 +21,9 @@
 	// ColdFactor and ColdSlack bound the requests to a cold upstream in any second, over all gateways: its own figure times
 	// ColdFactor, plus ColdSlack.
 	ColdFactor, ColdSlack float64
-	Log                   *zap.Logger
+	// Metrics counts what the gateway does; nil means that nobody reads them.
+	Metrics *Metrics
+	Log     *zap.Logger
 }
 
 const (
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +31,9 @@
 
 // New returns a gateway that refuses everything until Update.
 func New(cfg Config) *Gateway {
+	if cfg.Metrics == nil {
+		cfg.Metrics = NewMetrics()
+	}
 	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond)}
 }
 
@@ -123,10 +125,3 @@
 	defer g.mu.Unlock()
 	return g.services[name]
 }
-
-// Services returns a copy of the known services by name, for metrics.
-func (g *Gateway) snapshot() map[string]*service {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return maps.Clone(g.services)
-}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -25,6 +25,7 @@
 		c.refuse(f)
 		return
 	}
+	c.service.metrics.requests.Inc(1)
 	c.service.budget.FirstTry(time.Now())
 	a, f := c.run(r.Context())
 	if f != nil {
@@ -104,6 +105,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(a.whole)))
 	}
 	c.w.WriteHeader(a.resp.StatusCode)
+	c.service.metrics.answeredAfter(a.began.Sub(c.arrived), time.Since(c.arrived), c.target())
 	c.log("answered", a, nil)
 	if _, err := c.w.Write(a.whole); err != nil {
 		return // the client left
@@ -133,6 +135,7 @@
 
 // refuse answers without an upstream.
 func (c *call) refuse(f *failure) {
+	c.g.cfg.Metrics.count(f.code)
 	c.log("refused", nil, f)
 	if f == &clientLeft {
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
+
+// sampleSize is the number of values that a histogram keeps. 256 values of 8 bytes bound it to 2 KB.
+const sampleSize = 256
+
+// Metrics counts what a gateway does, by service. Names are SERVICE.NAME; durations are in µs.
+type Metrics struct {
+	// Registry holds all counters, gauges and histograms.
+	Registry metrics.Registry
+
+	mu       sync.Mutex
+	services map[string]*serviceMetrics
+}
+
+type serviceMetrics struct {
+	requests, answered, late, retries, hedges metrics.Counter
+	latency, waiting, serving                 metrics.Histogram
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{Registry: metrics.NewRegistry(), services: make(map[string]*serviceMetrics)}
+}
+
+func (m *Metrics) service(name string) *serviceMetrics {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s == nil {
+		counter := func(n string) metrics.Counter { return metrics.GetOrRegisterCounter(name+"."+n, m.Registry) }
+		histogram := func(n string) metrics.Histogram {
+			return metrics.GetOrRegisterHistogram(name+"."+n, m.Registry, metrics.NewUniformSample(sampleSize))
+		}
+		s = &serviceMetrics{
+			requests: counter("requests"), answered: counter("answered"), late: counter("late"),
+			retries: counter("retries"), hedges: counter("hedges"),
+			latency: histogram("latency_us"), waiting: histogram("waiting_us"), serving: histogram("serving_us"),
+		}
+		m.services[name] = s
+	}
+	return s
+}
+
+// count counts a failure by its code.
+func (m *Metrics) count(code resultcode.Code) {
+	metrics.GetOrRegisterCounter("code."+strconv.Itoa(int(code))+"."+code.String(), m.Registry).Inc(1)
+}
+
+// answeredAfter records a request that got an upstream's answer.
+func (s *serviceMetrics) answeredAfter(waiting, total, target time.Duration) {
+	s.answered.Inc(1)
+	s.latency.Update(total.Microseconds())
+	s.waiting.Update(waiting.Microseconds())
+	s.serving.Update((total - waiting).Microseconds())
+	if target > 0 && total > target {
+		s.late.Inc(1)
+	}
+}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -15,6 +15,7 @@
 	cfg        Config
 	name       string
 	bulk       *bulk
+	metrics    *serviceMetrics
 	budget     *retrybudget.Window
 	mu         sync.Mutex
 	balancer   *balancing.Service
@@ -26,7 +27,7 @@
 
 func newService(cfg Config, name string, b *bulk) *service {
 	return &service{
-		cfg: cfg, name: name, bulk: b, balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		cfg: cfg, name: name, bulk: b, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
--- /dev/null
+++ b/internal/entrynode/metrics.go
@@ -0,0 +1,45 @@
+package entrynode
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+)
+
+// metricsHandler serves counters, gauges and histograms as text.
+func (n *Node) metricsHandler() http.Handler {
+	e := echo.New()
+	e.GET("/metrics", func(x echo.Context) error {
+		n.observeCluster()
+		x.Response().Header().Set(echo.HeaderContentType, echo.MIMETextPlainCharsetUTF8)
+		metrics.WriteOnce(n.metrics.Registry, x.Response())
+		return nil
+	})
+	return e
+}
+
+// observeCluster sets the gauges of what this process believes.
+func (n *Node) observeCluster() {
+	gauge := func(name string, value int) {
+		metrics.GetOrRegisterGauge(name, n.metrics.Registry).Update(int64(value))
+	}
+	view := n.cluster.View()
+	gauge("control.view_index", int(view.Index))
+	gauge("control.evacuated_zones", len(view.Evacuated))
+	if view.Config != nil {
+		gauge("control.config_version", int(view.Config.Version))
+		gauge("control.routes", len(view.Config.Routes))
+	}
+	gauge("control.in_touch", map[bool]int{true: 1}[n.cluster.InTouch()])
+	gauge("control.links", n.cluster.Links())
+	gauge("control.leader", map[bool]int{true: 1}[n.cluster.Leads()])
+	gauge("processes.alive", len(n.cluster.Nodes()))
+	states := map[string]int{}
+	for _, e := range n.cluster.Upstreams() {
+		states[e.State.String()]++
+	}
+	for _, state := range []string{"ready", "draining", "gone"} {
+		gauge("upstreams."+state, states[state])
+	}
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -55,12 +55,13 @@
 	log      *zap.Logger
 	cluster  *cluster.Cluster
 	gateway  *edge.Gateway
+	metrics  *edge.Metrics
 	leaving  atomic.Bool
 }
 
 // New returns a node that is not running.
 func New(s Settings, a Adapter, log *zap.Logger) *Node {
-	n := &Node{adapter: a, log: log}
+	n := &Node{adapter: a, log: log, metrics: edge.NewMetrics()}
 	n.settings.Store(&s)
 	n.cluster = cluster.New(cluster.Config{
 		Self: roster.Node{
@@ -72,7 +73,7 @@
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, LinkBitsPerSecond: s.LinkBitsPerSecond, Log: log.Named("edge"),
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, LinkBitsPerSecond: s.LinkBitsPerSecond, Metrics: n.metrics, Log: log.Named("edge"),
 	})
 	return n
 }
@@ -93,8 +94,8 @@
 	duties.Go(func() { n.reload(running) })
 	control, directory, ready := n.adapter.Handlers(n)
 	entry := n.entryServer()
-	servers := []server{entry, n.server(control), n.server(directory), n.server(ready)}
-	for i, address := range []string{s.EntryAddress, s.ControlAddress, s.DirectoryAddress, s.ReadyAddress} {
+	servers := []server{entry, n.server(control), n.server(directory), n.server(ready), n.server(n.metricsHandler())}
+	for i, address := range []string{s.EntryAddress, s.ControlAddress, s.DirectoryAddress, s.ReadyAddress, s.MetricsAddress} {
 		if address == "" {
 			continue
 		}
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -15,6 +15,8 @@
 	ControlAddress string
 	// DirectoryAddress answers clients that ask where to connect.
 	DirectoryAddress string
+	// MetricsAddress (TCP, IP:port) serves GET /metrics.
+	MetricsAddress string
 	// PeerAddress serves other processes of the system.
 	PeerAddress string
 	// SeedPeers are peer addresses of processes that know others.
--- a/registry/state.go
+++ b/registry/state.go
@@ -9,3 +9,16 @@
 	Draining State = 2 // Gets nothing new.
 	Gone     State = 3 // Deregistered, or another process took its address.
 )
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	}
+	return "unknown"
+}
