--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -105,6 +105,7 @@
 			duties.Wait()
 			return errors.Wrap(err, "listen")
 		}
+		defer servers[i].Close()
 		go func() {
 			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				cancel(err)
@@ -124,7 +125,10 @@
 }
 
 // server serves one address.
-type server interface{ Serve(net.Listener) error }
+type server interface {
+	Serve(net.Listener) error
+	Close() error
+}
 
 func (n *Node) entryServer() *pipeline.Server {
 	return &pipeline.Server{
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -98,6 +98,22 @@
 	s.active.Done()
 }
 
+// Close ends the listener and all connections at once.
+func (s *Server) Close() error {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	err := s.Shutdown(ended)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.raw.Close()
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // Shutdown takes no further connection and request, and returns once every request that was taken is answered, or with the
 // context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
