--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -22,7 +22,7 @@
 	// dutyInterval is the time between two rounds of slow duties: new replicas to dial, expiry, membership of the group.
 	dutyInterval = 200 * time.Millisecond
 	// fetchTimeout bounds the fetching of a view from one replica. A large one takes 100 ms on a link of 6 Mbit/s.
-	fetchTimeout = 600 * time.Millisecond
+	fetchTimeout = time.Second
 )
 
 // Cluster is this process's part. Its methods may be called concurrently.
@@ -38,6 +38,7 @@
 	mu          sync.Mutex
 	self        roster.Node
 	dialed      map[string]*nodelink.Link // open links to replicas, by peer address
+	indexes     map[*nodelink.Link]uint64 // newest view that was announced on each of them
 	keeping     map[string]context.CancelFunc
 	subscribers map[*nodelink.Link]*subscriber
 	replica     *replica
@@ -49,7 +50,7 @@
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), fetches: make(chan *nodelink.Link, 16),
-		dialed: make(map[string]*nodelink.Link), keeping: make(map[string]context.CancelFunc),
+		dialed: make(map[string]*nodelink.Link), indexes: make(map[*nodelink.Link]uint64), keeping: make(map[string]context.CancelFunc),
 		subscribers: make(map[*nodelink.Link]*subscriber),
 	}
 	c.self.State, c.self.Seq = roster.Starting, 1
@@ -219,13 +220,10 @@
 		case <-ctx.Done():
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
-		data, err := link.Call(callCtx, methodView, nil)
-		cancel()
-		var view *routingstate.View
-		if err == nil {
-			view, err = routingstate.DecodeView(data)
+		if index := c.announced(link); index != 0 && index <= c.View().Index {
+			continue // another replica was faster
 		}
+		view, err := c.fetchFrom(ctx, link)
 		if err != nil {
 			c.log.Warn("view not fetched", zap.String("replica", link.Remote), zap.Error(err))
 			continue
@@ -233,3 +231,30 @@
 		c.adopt(view)
 	}
 }
+
+// announced returns the index of the newest view that was announced on a link.
+func (c *Cluster) announced(link *nodelink.Link) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.indexes[link]
+}
+
+// fetchFrom returns the view of a replica, made from the own one and the changes since, where the replica has them.
+func (c *Cluster) fetchFrom(ctx context.Context, link *nodelink.Link) (*routingstate.View, error) {
+	own := c.View()
+	request, err := encode(viewRequest{Have: own.Index})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := link.Call(ctx, methodView, request)
+	if err != nil {
+		return nil, err
+	}
+	var reply viewReply
+	if err := decode(data, &reply); err != nil {
+		return nil, err
+	}
+	return reply.apply(own)
+}
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -45,6 +45,7 @@
 	if c.dialed[l.Remote] == l {
 		delete(c.dialed, l.Remote)
 	}
+	delete(c.indexes, l)
 	c.mu.Unlock()
 	c.nodes.Forget(l.Remote, time.Now())
 	c.notify()
@@ -96,6 +97,9 @@
 		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
 	}
 	if u.ViewIndex > c.View().Index {
+		c.mu.Lock()
+		c.indexes[l] = u.ViewIndex
+		c.mu.Unlock()
 		select {
 		case c.fetches <- l:
 		default: // fetches of the same view are waiting already
@@ -166,7 +170,15 @@
 		}
 		return c.submitOnReplica(ctx, r, s)
 	case methodView:
-		return r.machine.View().Encode()
+		var request viewRequest
+		if err := decode(body, &request); err != nil {
+			return nil, err
+		}
+		reply, err := r.history.reply(request.Have, r.machine.View())
+		if err != nil {
+			return nil, err
+		}
+		return encode(reply)
 	}
 	return nil, errors.Errorf("unknown method %d", m)
 }
--- /dev/null
+++ b/internal/cluster/history.go
@@ -0,0 +1,141 @@
+package cluster
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+const (
+	// maxHistory and maxHistoryBytes bound the changes that a replica keeps for processes that are a little behind. A process
+	// that is further behind gets the whole view.
+	maxHistory      = 256
+	maxHistoryBytes = 1 << 20
+	// maxViewBytes bounds a view before compression.
+	maxViewBytes = 64 << 20
+)
+
+// change is one command that changed the state.
+type change struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Data  []byte `cbor:"2,keyasint"`
+}
+
+// viewRequest asks a replica for what came after the view that the caller has.
+type viewRequest struct {
+	Have uint64 `cbor:"1,keyasint,omitempty"`
+}
+
+// viewReply holds the changes after Have, or the whole view, compressed.
+type viewReply struct {
+	Changes []change `cbor:"1,keyasint,omitempty"`
+	View    []byte   `cbor:"2,keyasint,omitempty"`
+}
+
+// history holds the last changes of a replica's state. On a link of 6 Mbit/s a view with 1,400 routes takes half a second, and
+// every change would send it to every process.
+type history struct {
+	mu      sync.Mutex
+	base    uint64 // index of the view before the first change
+	changes []change
+	bytes   int
+	full    []byte // the encoded newest view, if it was asked for
+	fullAt  uint64
+}
+
+// add records a command that made view from the view with index before.
+func (h *history) add(before uint64, view *routingstate.View, data []byte) error {
+	stripped, err := routingstate.StripSources(data)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.changes) == 0 || h.changes[len(h.changes)-1].Index != before {
+		h.base, h.changes, h.bytes = before, nil, 0
+	}
+	h.changes = append(h.changes, change{Index: view.Index, Data: stripped})
+	h.bytes += len(stripped)
+	for len(h.changes) > 1 && (len(h.changes) > maxHistory || h.bytes > maxHistoryBytes) {
+		h.base = h.changes[0].Index
+		h.bytes -= len(h.changes[0].Data)
+		h.changes = h.changes[1:]
+	}
+	return nil
+}
+
+// reply returns what a process needs that has the view with index have.
+func (h *history) reply(have uint64, view *routingstate.View) (viewReply, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if have != 0 && len(h.changes) > 0 && h.changes[len(h.changes)-1].Index >= view.Index {
+		if have == h.base {
+			return viewReply{Changes: h.changes}, nil
+		}
+		for i, c := range h.changes {
+			if c.Index == have {
+				return viewReply{Changes: h.changes[i+1:]}, nil
+			}
+		}
+	}
+	if h.full == nil || h.fullAt != view.Index {
+		data, err := view.WithoutSources().Encode()
+		if err != nil {
+			return viewReply{}, err
+		}
+		if h.full, err = compress(data); err != nil {
+			return viewReply{}, err
+		}
+		h.fullAt = view.Index
+	}
+	return viewReply{View: h.full}, nil
+}
+
+// apply returns the view after a reply.
+func (r viewReply) apply(view *routingstate.View) (*routingstate.View, error) {
+	if len(r.View) > 0 {
+		data, err := decompress(r.View)
+		if err != nil {
+			return nil, err
+		}
+		return routingstate.DecodeView(data)
+	}
+	m := routingstate.NewAt(view)
+	for _, c := range r.Changes {
+		if c.Index <= m.View().Index {
+			continue
+		}
+		m.Apply(c.Index, c.Data)
+		if m.View().Index != c.Index {
+			return nil, errors.Errorf("change %d does not apply to view %d", c.Index, m.View().Index)
+		}
+	}
+	return m.View(), nil
+}
+
+func compress(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress")
+	}
+	return out.Bytes(), nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	out, err := io.ReadAll(io.LimitReader(r, maxViewBytes))
+	return out, errors.Wrap(err, "decompress")
+}
--- /dev/null
+++ b/internal/cluster/history_test.go
@@ -0,0 +1,88 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/routing"
+	"github.com/bramleypick/bramleypick/routingstate"
+)
+
+// Guards against a process whose view differs from the replica's because changes were lost, doubled or applied to another
+// view, whatever it had before.
+func TestHistoryLeadsToTheNewestView(t *testing.T) {
+	is := is.New(t)
+	machine := routingstate.New()
+	m := &observedMachine{Machine: machine, history: &history{}, applied: func(*routingstate.View) {}}
+	views := []*routingstate.View{m.View()}
+	apply := func(index uint64, c routingstate.Command) {
+		data, err := c.Encode()
+		is.NoErr(err)
+		m.Apply(index, data)
+		if v := m.View(); v != views[len(views)-1] {
+			views = append(views, v.WithoutSources())
+		}
+	}
+	apply(3, routingstate.Command{Put: &routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Source: []byte("{}")}}}})
+	for i := range uint64(maxHistory + 20) {
+		index := 10 + 2*i
+		switch i % 3 {
+		case 0:
+			apply(index, routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: fmt.Sprint(i)}})
+		case 1: // refused: it changes nothing
+			apply(index, routingstate.Command{Patch: &routing.Patch{Version: 1, Base: 77}})
+		case 2:
+			version := m.View().Config.Version
+			apply(index, routingstate.Command{Patch: &routing.Patch{Version: version + 3, Base: version, UpsertServices: []routing.Service{
+				{Name: fmt.Sprint("s", i), Source: []byte(`{"name":"s"}`)},
+			}}})
+		}
+	}
+	newest := m.View().WithoutSources()
+	whole := 0
+	for _, have := range views {
+		reply, err := m.history.reply(have.Index, m.View())
+		is.NoErr(err)
+		if len(reply.View) > 0 {
+			whole++
+		}
+		got, err := reply.apply(have)
+		is.NoErr(err)
+		is.Equal(got.Index, newest.Index)
+		is.Equal(got.Evacuated, newest.Evacuated)
+		is.Equal(encodedConfig(t, got), encodedConfig(t, newest))
+	}
+	is.Equal(whole, 1) // only the process that had nothing
+	unknown := &routingstate.View{Index: 11}
+	reply, err := m.history.reply(unknown.Index, m.View())
+	is.NoErr(err)
+	is.True(len(reply.View) > 0) // an index that no view has
+}
+
+// encodedConfig makes configurations comparable, in which empty and missing lists are the same.
+func encodedConfig(t *testing.T, v *routingstate.View) []byte {
+	t.Helper()
+	data, err := encode(v.Config)
+	is.New(t).NoErr(err)
+	return data
+}
+
+// Guards against a history that grows with the changes of a long day.
+func TestHistoryIsBounded(t *testing.T) {
+	is := is.New(t)
+	m := &observedMachine{Machine: routingstate.New(), history: &history{}, applied: func(*routingstate.View) {}}
+	for i := range uint64(3 * maxHistory) {
+		data, err := routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z", End: i%2 == 1}}.Encode()
+		is.NoErr(err)
+		m.Apply(i+1, data)
+	}
+	is.Equal(len(m.history.changes), maxHistory)
+	old := &routingstate.View{Index: 1}
+	reply, err := m.history.reply(old.Index, m.View())
+	is.NoErr(err)
+	is.True(len(reply.View) > 0)
+	_, err = viewReply{Changes: []change{{Index: 5, Data: []byte("x")}}}.apply(old)
+	is.True(err != nil) // a change that does not apply is not skipped
+}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -18,7 +18,7 @@
 	methodHold     nodelink.Method = 5 // call between replicas: registry.Entry; answered once it is merged
 	methodSubmit   nodelink.Method = 6 // call to a replica: submission, answered with a routingstate.Result
 	methodRead     nodelink.Method = 7 // call to a replica: submission, answered with the newest routingstate.View
-	methodView     nodelink.Method = 8 // call to a replica: nothing, answered with the view that it has applied
+	methodView     nodelink.Method = 8 // call to a replica: viewRequest, answered with viewReply
 	methodStatus   nodelink.Method = 9 // call: nothing, answered with status
 )
 
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -29,18 +29,27 @@
 	id      replog.NodeID
 	node    *controlnode.Node
 	machine *routingstate.Machine
+	history *history
 }
 
-// observedMachine tells the cluster after each command that there is a newer view.
+// observedMachine tells the cluster after each command that there is a newer view, and keeps the changes for others.
 type observedMachine struct {
 	*routingstate.Machine
+	history *history
 	applied func(*routingstate.View)
+	log     *zap.Logger
 }
 
 // Apply implements controlnode.StateMachine.
 func (m *observedMachine) Apply(index uint64, data []byte) []byte {
+	before := m.View().Index
 	result := m.Machine.Apply(index, data)
-	m.applied(m.View())
+	if view := m.View(); view.Index != before {
+		if err := m.history.add(before, view, data); err != nil {
+			m.log.Error("change not kept for others, who fetch the whole view", zap.Error(err))
+		}
+		m.applied(view)
+	}
 	return result
 }
 
@@ -64,7 +73,7 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	machine := &observedMachine{Machine: routingstate.New(), applied: c.adopt}
+	machine := &observedMachine{Machine: routingstate.New(), history: &history{}, applied: c.adopt, log: c.log}
 	node, err := controlnode.Start(controlnode.Config{
 		ID: id, Dir: filepath.Join(c.cfg.DataDir, "log"), Bootstrap: bootstrap, DemoteAfter: demoteAfter,
 	}, machine, replicaTransport{c})
@@ -72,7 +81,7 @@
 		return errors.Wrap(err, "start the control replica")
 	}
 	c.mu.Lock()
-	c.replica = &replica{id: id, node: node, machine: machine.Machine}
+	c.replica = &replica{id: id, node: node, machine: machine.Machine, history: machine.history}
 	c.founded = c.founded || len(bootstrap.Voters) > 0
 	c.mu.Unlock()
 	c.log.Info("replica started", zap.Uint64("replica", uint64(id)), zap.Bool("fresh", fresh),
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -86,13 +86,15 @@
 	g.view = v
 	s := &state{
 		version: v.Config.Version, table: routing.NewTable(v.Config), maxBody: v.Config.Limits.MaxBodyBytes,
-		splitters: make(map[*routing.Route]*routing.Splitter, len(v.Config.Routes)),
+		splitters: make(map[*routing.Route]*routing.Splitter),
 	}
 	if s.maxBody <= 0 {
 		s.maxBody = defaultMaxBody
 	}
 	for i := range v.Config.Routes {
-		s.splitters[&v.Config.Routes[i]] = routing.NewSplitter(&v.Config.Routes[i])
+		if r := &v.Config.Routes[i]; len(r.Split) > 0 {
+			s.splitters[r] = routing.NewSplitter(r)
+		}
 	}
 	g.state.Store(s)
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -47,7 +47,7 @@
 	if c.route == nil {
 		return &unknownRoute
 	}
-	c.service = c.g.service(s.splitters[c.route].Next())
+	c.service = c.g.service(s.service(c.route))
 	if c.service == nil {
 		return &noUpstream
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -6,8 +6,17 @@
 
 // state is what requests are matched against. It is immutable.
 type state struct {
-	version   uint64 // of the configuration
-	table     *routing.Table
+	version uint64 // of the configuration
+	table   *routing.Table
+	// splitters holds those of routes with a traffic split.
 	splitters map[*routing.Route]*routing.Splitter
 	maxBody   int64
 }
+
+// service returns the service of the next request of a route.
+func (s *state) service(r *routing.Route) string {
+	if splitter := s.splitters[r]; splitter != nil {
+		return splitter.Next()
+	}
+	return r.Service
+}
--- a/routingstate/machine.go
+++ b/routingstate/machine.go
@@ -39,6 +39,13 @@
 	return m
 }
 
+// NewAt returns a machine that continues from a view. It recognises no change as sent again.
+func NewAt(v *View) *Machine {
+	m := &Machine{}
+	m.view.Store(v)
+	return m
+}
+
 // View returns the state after the last applied command.
 func (m *Machine) View() *View { return m.view.Load() }
 
--- /dev/null
+++ b/routingstate/strip.go
@@ -0,0 +1,61 @@
+package routingstate
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/routing"
+)
+
+// WithoutSources returns the view without the items as operators sent them, which only reads of the configuration need.
+func (v *View) WithoutSources() *View {
+	if v.Config == nil {
+		return v
+	}
+	stripped := *v
+	stripped.Config = stripConfig(v.Config)
+	return &stripped
+}
+
+// StripSources returns an encoded command without the items as operators sent them. Its effect on a view without sources is
+// that of the whole command on the whole view.
+func StripSources(data []byte) ([]byte, error) {
+	var c Command
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return nil, errors.Wrap(err, "decode command")
+	}
+	if c.Put != nil {
+		c.Put = stripConfig(c.Put)
+	}
+	if c.Patch != nil {
+		p := *c.Patch
+		p.UpsertRoutes, p.UpsertServices = stripRoutes(p.UpsertRoutes), stripServices(p.UpsertServices)
+		c.Patch = &p
+	}
+	return c.Encode()
+}
+
+func stripConfig(c *routing.Config) *routing.Config {
+	stripped := *c
+	stripped.Routes, stripped.Services = stripRoutes(c.Routes), stripServices(c.Services)
+	stripped.Limits.Source = nil
+	return &stripped
+}
+
+func stripRoutes(routes []routing.Route) []routing.Route {
+	stripped := slices.Clone(routes)
+	for i := range stripped {
+		stripped[i].Source = nil
+	}
+	return stripped
+}
+
+func stripServices(services []routing.Service) []routing.Service {
+	stripped := slices.Clone(services)
+	for i := range stripped {
+		stripped[i].Source = nil
+	}
+	return stripped
+}
