--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -17,7 +17,7 @@
 	methodAnnounce nodelink.Method = 4 // call to a replica: registry.Entry; answered once it is known widely enough
 	methodHold     nodelink.Method = 5 // call between replicas: registry.Entry; answered once it is merged
 	methodSubmit   nodelink.Method = 6 // call to a replica: submission, answered with a routingstate.Result
-	methodRead     nodelink.Method = 7 // call to a replica: submission, answered with the newest routingstate.View
+	methodRead     nodelink.Method = 7 // call to a replica: submission, answered with the newest routingstate.View, compressed
 	methodView     nodelink.Method = 8 // call to a replica: viewRequest, answered with viewReply
 	methodStatus   nodelink.Method = 9 // call: nothing, answered with status
 )
@@ -34,6 +34,7 @@
 
 // submission is a command for the log, or a read if Command is empty.
 type submission struct {
+	// The command is compressed: a configuration of 1,400 routes takes half a second on a link of 6 Mbit/s otherwise.
 	Command []byte `cbor:"1,keyasint,omitempty"`
 	// Forwarded tells that a replica passed it on; it is not passed on again.
 	Forwarded bool `cbor:"2,keyasint,omitempty"`
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -20,6 +20,9 @@
 // Submit puts a change into the log and returns its result once it is committed.
 func (c *Cluster) Submit(ctx context.Context, command routingstate.Command) (routingstate.Result, error) {
 	data, err := command.Encode()
+	if err == nil {
+		data, err = compress(data)
+	}
 	if err != nil {
 		return routingstate.Result{}, err
 	}
@@ -36,7 +39,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return routingstate.DecodeView(reply)
+	data, err := decompress(reply)
+	if err != nil {
+		return nil, err
+	}
+	return routingstate.DecodeView(data)
 }
 
 // callLeader serves a submission here, or asks one replica after the other until one can.
@@ -78,9 +85,13 @@
 	if reply, done, err := c.passOn(ctx, r, methodSubmit, s); done {
 		return reply, err
 	}
+	command, err := decompress(s.Command)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	return r.node.Propose(ctx, s.Command)
+	return r.node.Propose(ctx, command)
 }
 
 func (c *Cluster) readOnReplica(ctx context.Context, r *replica, s submission) ([]byte, error) {
@@ -92,7 +103,11 @@
 	if _, err := r.node.ReadBarrier(ctx); err != nil {
 		return nil, err
 	}
-	return r.machine.View().Encode()
+	data, err := r.machine.View().Encode()
+	if err != nil {
+		return nil, err
+	}
+	return compress(data)
 }
 
 // passOn calls the leader if it is another replica.
