--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -33,6 +33,8 @@
 		{"once, cut", "/once/1", cut, 502, resultcode.UpstreamConnectionCut, 1},
 		{"once, shorter than declared", "/once/1", short, 502, resultcode.UpstreamConnectionCut, 1},
 		{"once, answer to another request", "/once/1", otherID, 502, resultcode.BrokenResponse, 1},
+		{"once, answer without an id", "/once/1", noID, 502, resultcode.BrokenResponse, 1},
+		{"once, refusal without an id", "/once/1", shedWithoutID, 502, resultcode.BrokenResponse, 1},
 		{"once, not run", "/once/1", shed, 503, resultcode.UpstreamRefused, 2},
 		{"once, address of another upstream", "/once/1", misdirected, 503, resultcode.UpstreamRefused, 2},
 		{"idempotent, answered", "/idempotent/1", fine, 200, 0, 1},
@@ -40,6 +42,7 @@
 		{"idempotent, cut", "/idempotent/1", cut, 502, resultcode.UpstreamConnectionCut, 2},
 		{"idempotent, shorter than declared", "/idempotent/1", short, 502, resultcode.UpstreamConnectionCut, 2},
 		{"idempotent, answer to another request", "/idempotent/1", otherID, 502, resultcode.BrokenResponse, 2},
+		{"idempotent, answer without an id", "/idempotent/1", noID, 502, resultcode.BrokenResponse, 2},
 		{"idempotent, not run", "/idempotent/1", shed, 503, resultcode.UpstreamRefused, 2},
 		{"download, cut", "/download/1", cut, 502, resultcode.UpstreamConnectionCut, 2},
 	} {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -125,6 +125,16 @@
 	fine(w, r)
 }
 
+// noID answers like a late second response to a health check.
+func noID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Del(testID)
+	fine(w, r)
+}
+func shedWithoutID(w http.ResponseWriter, r *http.Request) {
+	w.Header().Del(testID)
+	shed(w, r)
+}
+
 // hang answers only once the gateway has closed the connection.
 func hang(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -65,7 +65,7 @@
 	if p == nil {
 		p = upstreamconn.NewPool(address, upstreamconn.Options{
 			MaxConnections: s.maxConns, DialTimeout: dialTimeout, IdleLimit: idleUpstream,
-			RequestIDHeader: s.cfg.Protocol.RequestIDHeader, AllowUnframed: true,
+			RequestIDHeader: s.cfg.Protocol.RequestIDHeader, RequireEcho: true, AllowUnframed: true,
 			Dial: s.bulk.dial,
 		})
 		s.pools[address] = p
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -80,9 +80,9 @@
 // checkHeader refuses a response to another request, and, unless the options allow it, one whose end only the end of the
 // connection would mark: behind some middleboxes a connection that breaks looks the same.
 func (x *exchange) checkHeader(resp *http.Response) error {
-	name := x.transport.pool.opts.RequestIDHeader
-	want, got := x.request.Header.Get(name), resp.Header.Get(name)
-	if want != "" && got != "" && got != want {
+	opts := &x.transport.pool.opts
+	want, got := x.request.Header.Get(opts.RequestIDHeader), resp.Header.Get(opts.RequestIDHeader)
+	if want != "" && got != want && (got != "" || opts.RequireEcho) {
 		return newError(ErrMismatched, errors.Errorf("request id %q, want %q", got, want))
 	}
 	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
--- a/internal/upstreamconn/invariant_test.go
+++ b/internal/upstreamconn/invariant_test.go
@@ -231,3 +231,27 @@
 	data, err := io.ReadAll(resp.Body)
 	return string(data), out, err
 }
+
+// Guards against the late second response to a health check, which carries no id, being taken for the answer to a request.
+func TestRequiredEcho(t *testing.T) {
+	for _, test := range []struct {
+		description, header string
+		err                 error
+	}{
+		{"right id", DefaultRequestIDHeader + ": r1\r\n", nil},
+		{"wrong id", DefaultRequestIDHeader + ": r0\r\n", ErrMismatched},
+		{"no id", "", ErrMismatched},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			u := startUpstream(t, answer("HTTP/1.1 200 OK\r\n"+test.header+"Content-Length: 5\r\n\r\nfirst", false))
+			p := NewPool(u.listener.Addr().String(), Options{RequireEcho: true})
+			defer p.Close()
+			r, err := http.NewRequest("GET", "http://"+u.listener.Addr().String()+"/status", nil)
+			is.NoErr(err)
+			r.Header.Set(DefaultRequestIDHeader, "r1")
+			_, _, err = call(t.Context(), p, r)
+			is.True(errors.Is(err, test.err))
+		})
+	}
+}
--- a/internal/upstreamconn/options.go
+++ b/internal/upstreamconn/options.go
@@ -18,6 +18,9 @@
 	MaxHeaderBytes int
 	// RequestIDHeader names the header of the request's id, which a response may echo. Default DefaultRequestIDHeader.
 	RequestIDHeader string
+	// RequireEcho refuses a response without the request's id. Without it a missing id is accepted and only a wrong one refused.
+	// It is needed where upstreams may send a late second response, which for a health check carries no id.
+	RequireEcho bool
 	// AllowUnframed accepts responses whose end is the orderly end of the connection. A connection that is reset is not one.
 	AllowUnframed bool
 	// Dial opens a connection. Default net.Dialer; nil means the default.
