--- /dev/null
+++ b/internal/nodelink/link_test.go
@@ -0,0 +1,145 @@
+package nodelink
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// recorder is a Handler that keeps what it gets.
+type recorder struct {
+	opened   chan *Link
+	received chan string
+	closed   chan error
+	serve    func(context.Context, []byte) ([]byte, error)
+}
+
+func newRecorder(serve func(context.Context, []byte) ([]byte, error)) *recorder {
+	return &recorder{opened: make(chan *Link, 1), received: make(chan string, 10), closed: make(chan error, 1), serve: serve}
+}
+
+func (r *recorder) Opened(l *Link)                         { r.opened <- l }
+func (r *recorder) Receive(_ *Link, _ Method, body []byte) { r.received <- string(body) }
+func (r *recorder) Closed(_ *Link, cause error)            { r.closed <- cause }
+func (r *recorder) Serve(ctx context.Context, _ *Link, _ Method, body []byte) ([]byte, error) {
+	return r.serve(ctx, body)
+}
+
+// pair connects two links in memory. Inside synctest time passes only while everything waits.
+func pair(ctx context.Context, a, b *recorder) (*Link, *Link) {
+	left, right := net.Pipe()
+	go func() { _ = newLink(left, "b", true, a).run(ctx) }()
+	go func() { _ = newLink(right, "a", false, b).run(ctx) }()
+	return <-a.opened, <-b.opened
+}
+
+func echo(_ context.Context, body []byte) ([]byte, error) { return body, nil }
+
+// Guards against calls and messages that are lost or answered with another call's reply.
+func TestCallsAndMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		a, b := newRecorder(echo), newRecorder(func(_ context.Context, body []byte) ([]byte, error) {
+			if string(body) == "bad" {
+				return nil, errors.New("refused")
+			}
+			return append([]byte("re:"), body...), nil
+		})
+		l, back := pair(ctx, a, b)
+		reply, err := l.Call(ctx, 1, []byte("x"))
+		is.NoErr(err)
+		is.Equal(string(reply), "re:x")
+		reply, err = back.Call(ctx, 1, []byte("y")) // calls go both ways
+		is.NoErr(err)
+		is.Equal(string(reply), "y")
+		_, err = l.Call(ctx, 1, []byte("bad"))
+		var remote *RemoteError
+		is.True(errors.As(err, &remote))
+		is.True(l.Send(2, []byte("message")))
+		is.Equal(<-b.received, "message")
+		cancel()
+		<-a.closed
+		<-b.closed
+		_, err = l.Call(context.Background(), 1, nil)
+		is.True(errors.Is(err, ErrNotSent))
+	})
+}
+
+// Guards against a connection that went silent without a reset being kept, and against an idle one being closed.
+func TestSilentLinkEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		a, b := newRecorder(echo), newRecorder(echo)
+		l, _ := pair(ctx, a, b)
+		time.Sleep(10 * SilentAfter) // on the test's clock
+		select {
+		case <-l.Done():
+			t.Fatal("an idle link ended")
+		default:
+		}
+		left, right := net.Pipe() // nobody answers on the right
+		go func() { _, _ = io.Copy(io.Discard, right) }()
+		c := newRecorder(echo)
+		began := time.Now()
+		go func() { _ = newLink(left, "silent", true, c).run(ctx) }()
+		is.True(<-c.closed != nil)
+		is.Equal(time.Since(began), SilentAfter)
+		cancel()
+		<-a.closed
+		<-b.closed
+		right.Close()
+	})
+}
+
+// Guards against a caller that waits for ever for a process that is gone, and against a process that is held up by one that
+// does not read.
+func TestCallEndsWithTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		a, b := newRecorder(echo), newRecorder(func(ctx context.Context, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		l, back := pair(ctx, a, b)
+		short, cancelShort := context.WithTimeout(ctx, time.Second)
+		defer cancelShort()
+		_, err := l.Call(short, 1, nil)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		time.AfterFunc(time.Second, back.Close)
+		_, err = l.Call(ctx, 1, nil)
+		is.True(errors.Is(err, ErrClosed))
+		<-a.closed
+		<-b.closed
+
+		left, right := net.Pipe() // nobody reads on the right
+		defer right.Close()
+		c := newRecorder(echo)
+		go func() { _ = newLink(left, "stuck", true, c).run(ctx) }()
+		stuck := <-c.opened
+		for stuck.Send(1, nil) {
+		}
+		is.True(errors.Is(<-c.closed, errBehind))
+	})
+}
+
+// Guards against frames that would make a process allocate without bound.
+func TestFrameTooLarge(t *testing.T) {
+	is := is.New(t)
+	_, err := frame{Body: make([]byte, maxFrame+1)}.encode()
+	is.True(err != nil)
+	left, right := net.Pipe()
+	go func() { _, _ = right.Write([]byte{0xff, 0xff, 0xff, 0xff}) }()
+	_, err = readFrame(left)
+	is.True(err != nil)
+}
--- /dev/null
+++ b/placement/entries_test.go
@@ -0,0 +1,40 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bramleypick/bramleypick/placement"
+)
+
+// Guards against clients being sent to another zone or to a control replica without need, and against answers with fewer
+// addresses than a client needs when its gateway fails.
+func TestEntries(t *testing.T) {
+	plain := func(address, zone string) placement.Entry { return placement.Entry{Address: address, Zone: zone} }
+	replica := func(address, zone string) placement.Entry {
+		return placement.Entry{Address: address, Zone: zone, Replica: true}
+	}
+	for _, test := range []struct {
+		description string
+		entries     []placement.Entry
+		want        []string
+	}{
+		{"enough in the zone", []placement.Entry{replica("r", "a"), plain("1", "a"), plain("2", "a"), plain("3", "b")}, []string{"1", "2"}},
+		{"one in the zone, and a replica", []placement.Entry{replica("r", "a"), plain("1", "a"), plain("3", "b")}, []string{"1", "r"}},
+		{"one in the zone", []placement.Entry{plain("1", "a"), plain("3", "b"), plain("4", "c")}, []string{"1", "3", "4"}},
+		{"none in the zone", []placement.Entry{plain("3", "b"), plain("4", "c"), replica("r", "b")}, []string{"3", "4"}},
+		{"a replica elsewhere only", []placement.Entry{replica("r", "b")}, []string{"r"}},
+		{"none", nil, nil},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is.New(t).Equal(placement.Entries(test.entries, "a"), test.want)
+		})
+	}
+	var many []placement.Entry
+	for i := range 200 {
+		many = append(many, plain(fmt.Sprint(i), "a"))
+	}
+	is.New(t).Equal(len(placement.Entries(many, "a")), placement.MaxEntries)
+}
