--- a/balancing/service_test.go
+++ b/balancing/service_test.go
@@ -76,7 +76,7 @@
 	ranked := s.Rank(Preferences{}, start)
 	is.Equal(ids(ranked), []string{"u0"})
 	is.True(ranked[0].Verified)
-	is.True(!s.Rank(Preferences{}, start.Add(verifiedFor + 1))[0].Verified) // that was too long ago
+	is.True(!s.Rank(Preferences{}, start.Add(verifiedFor+1))[0].Verified) // that was too long ago
 }
 
 // Guards against an order that sends requests to an upstream that is slow, full, suspect or far away without need.
@@ -149,7 +149,7 @@
 	s.SetUpstreams(upstreams(1, nil), start)
 	s.End("u0", Failed, 0, start)
 	is.True(s.Rank(Preferences{}, start)[0].Suspect)
-	is.True(!s.Rank(Preferences{}, start.Add(3 * failureMemory))[0].Suspect)
+	is.True(!s.Rank(Preferences{}, start.Add(3*failureMemory))[0].Suspect)
 	s.Lost("u0", start)
 	is.Equal(len(s.Rank(Preferences{}, start)), 0)
 	is.Equal(len(s.Rank(Preferences{}, start.Add(unreachableForMax))), 1)
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -72,10 +72,3 @@
 	}
 	return p
 }
-
-// with runs f on the balancer.
-func (s *service) with(f func(*balancing.Service)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f(s.balancer)
-}
