--- a/balancing/service.go
+++ b/balancing/service.go
@@ -61,9 +61,6 @@
 	s.targets = next
 }
 
-// Len returns the number of upstreams.
-func (s *Service) Len() int { return len(s.targets) }
-
 // Rank returns the upstreams that may get a request now, the best first. Those that failed recently come last; then
 // comfortable ones in the own zone come first; then the shortest estimate decides.
 func (s *Service) Rank(p Preferences, now time.Time) []Candidate {
@@ -183,7 +180,7 @@
 	s.deviation += time.Duration(workGain * (difference - float64(s.deviation)))
 }
 
-// Observe takes over the load that an upstream reported at sentAt or later, and the rest of its warm-up.
+// Observe takes over the load that an upstream reported.
 func (s *Service) Observe(id string, l Load, now time.Time) {
 	t := s.targets[id]
 	if t == nil {
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -10,7 +10,6 @@
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/replog"
-	"github.com/bramleypick/bramleypick/resultcode"
 	"github.com/bramleypick/bramleypick/routingstate"
 )
 
@@ -226,14 +225,3 @@
 	}
 	return nil
 }
-
-// Code returns the result code for an error of Submit or Read.
-func Code(err error) resultcode.Code {
-	switch {
-	case err == nil:
-		return resultcode.OK
-	case errors.Is(err, controlnode.ErrNotLeader):
-		return resultcode.NotLeader
-	}
-	return resultcode.ChangeOutcomeUnknown
-}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -26,6 +26,8 @@
 	started    int
 	mayHaveRun bool
 	tried      []string
+	// passedOver is the best upstream that did not get the request, because it would not have answered in time.
+	passedOver balancing.Candidate
 }
 
 func (c *call) repeatable() bool { return c.route.Kind.Repeatable() }
@@ -115,6 +117,7 @@
 			go a.run(results)
 			return a, picked
 		}
+		c.passedOver = candidate
 		if !wait || !time.Now().Add(waitStep).Before(until) {
 			return nil, v
 		}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -19,7 +19,6 @@
 	state    atomic.Pointer[state]
 	closing  atomic.Bool
 	buffered atomic.Int64
-	inFlight sync.WaitGroup
 	bulk     *bulk
 	// logBudget bounds the lines about requests that were answered at the first try.
 	logBudget asynclog.Budget
@@ -119,9 +118,6 @@
 // Close makes responses ask clients to open new connections elsewhere. Requests are still served.
 func (g *Gateway) Close() { g.closing.Store(true) }
 
-// Wait returns once no request is in flight.
-func (g *Gateway) Wait() { g.inFlight.Wait() }
-
 func (g *Gateway) service(name string) *service {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -15,8 +15,6 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), id: r.Header.Get(g.cfg.Protocol.RequestIDHeader)}
 	if g.closing.Load() {
 		w.Header().Set("Connection", "close")
@@ -178,6 +176,10 @@
 		fields = append(fields, zap.Int("status", a.resp.StatusCode), zap.Duration("estimate", a.candidate.Estimate),
 			zap.Duration("load_age", a.candidate.Age))
 	}
+	if f != nil && c.passedOver.ID != "" {
+		fields = append(fields, zap.String("passed_over", c.passedOver.ID), zap.Duration("estimate", c.passedOver.Estimate),
+			zap.Duration("load_age", c.passedOver.Age), zap.Duration("target_left", c.preferences().Target))
+	}
 	if f != nil {
 		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun))
 	}
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -56,7 +56,8 @@
 	return !s.reportsNo && s.healthPath != ""
 }
 
-// look picks an upstream if enough is known, and otherwise returns those worth asking. Without ask it takes what is known.
+// look picks an upstream if enough is known, and otherwise returns the best one and those worth asking. Without ask it takes what
+// is known.
 func (s *service) look(p balancing.Preferences, ask bool) (best balancing.Candidate, stale []balancing.Candidate, v verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -70,7 +71,11 @@
 	case len(ranked) == 0:
 		return best, nil, absent
 	}
-	return best, worthAsking(ranked, best, ok), overloaded
+	stale = worthAsking(ranked, best, ok)
+	if !ok {
+		best = ranked[0]
+	}
+	return best, stale, overloaded
 }
 
 // choose returns the first candidate that admits the request. Without a further round of probes it must be verified.
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -25,8 +25,6 @@
 	DataDir string
 	// FirstStart is true only when the whole deployment starts for the first time.
 	FirstStart bool
-	// AnnounceInterval is the time between two announcements of an upstream.
-	AnnounceInterval time.Duration
 	// MaxAddressTTL bounds the time for which clients keep an answer of the directory.
 	MaxAddressTTL time.Duration
 	// ShutdownGrace is the time from SIGTERM until the process is killed.
