--- a/balancing/service.go
+++ b/balancing/service.go
@@ -61,8 +61,7 @@
 	s.targets = next
 }
 
-// Rank returns the upstreams that may get a request now, the best first. Those that failed recently, or hold a request for far
-// too long, come last; then
+// Rank returns the upstreams that may get a request now, the best first. Those that failed recently come last; then
 // comfortable ones in the own zone come first; then the shortest estimate decides.
 func (s *Service) Rank(p Preferences, now time.Time) []Candidate {
 	ranked := make([]Candidate, 0, len(s.targets))
@@ -76,7 +75,7 @@
 		}
 		ranked = append(ranked, Candidate{
 			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
-			Age: s.age(t, now), Suspect: t.failureScore(now) > suspectScore || t.overdue(now), Free: t.occupied(now) < t.slots(),
+			Age: s.age(t, now), Suspect: t.failureScore(now) > suspectScore, Free: t.occupied(now) < t.slots(),
 			Verified: cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		})
 	}
@@ -138,7 +137,6 @@
 	if t == nil {
 		return
 	}
-	t.running = append(t.running, sending{at: now, estimate: s.estimate(t, Preferences{}, now)})
 	t.inflight++
 	t.sentSince++
 	if t.cold(now) {
@@ -154,7 +152,6 @@
 		return
 	}
 	t.inflight = max(0, t.inflight-1)
-	t.ended(now.Add(-took))
 	switch outcome {
 	case Answered:
 		t.noteSuccess(now)
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -26,9 +25,6 @@
 	// unreachableFor is how long an upstream that could not be reached is left alone; doubled each time up to the maximum.
 	unreachableFor    = 250 * time.Millisecond
 	unreachableForMax = 2 * time.Second
-	// overdueFactor is how many times its estimate a request may take before it counts against the upstream. Work varies by a
-	// third around its mean; an upstream that turned seven times slower is rightly avoided too.
-	overdueFactor = 3
 	// coldBurst bounds the requests that a cold upstream gets at once.
 	coldBurst = 1.0
 	// verifiedFor is how long a health response proves that an upstream is not cold. Upstreams may turn cold at any moment.
@@ -42,7 +38,6 @@
 	loadAt     time.Time
 	sentSince  int // requests sent after loadAt
 	inflight   int
-	running    []sending // in the order in which they were sent
 	failures   float64
 	failuresAt time.Time
 	away       time.Time // not used before
@@ -54,31 +49,6 @@
 	checkedAt  time.Time // of the last health response
 }
 
-// sending is a request that has not ended.
-type sending struct {
-	at       time.Time
-	estimate time.Duration
-}
-
-// overdue tells whether a request takes much longer than was expected when it was sent. Upstreams that run no request to its
-// end, while their health endpoint is good, are found so before the request's timeout.
-func (t *target) overdue(now time.Time) bool {
-	return len(t.running) > 0 && now.Sub(t.running[0].at) > overdueFactor*t.running[0].estimate
-}
-
-// ended removes the request that was sent at about the given time.
-func (t *target) ended(at time.Time) {
-	best := -1
-	for i, s := range t.running {
-		if best < 0 || s.at.Sub(at).Abs() < t.running[best].at.Sub(at).Abs() {
-			best = i
-		}
-	}
-	if best >= 0 {
-		t.running = slices.Delete(t.running, best, best+1)
-	}
-}
-
 func (t *target) slots() int {
 	if t.load.Slots > 0 {
 		return t.load.Slots
