--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -88,6 +88,10 @@
 				running = append(running, next)
 			}
 		case <-ctx.Done():
+			if a := c.ready(results); a != nil {
+				running = without(running, a)
+				return a, nil
+			}
 			return nil, c.expired(ctx)
 		}
 	}
@@ -97,6 +101,21 @@
 	return nil, &last
 }
 
+// ready returns an answer that has arrived at the moment at which the time was over: it is passed on although it is late.
+func (c *call) ready(results <-chan *attempt) *attempt {
+	for {
+		select {
+		case a := <-results:
+			if a.passable(c) {
+				return a
+			}
+			a.discard()
+		default:
+			return nil
+		}
+	}
+}
+
 // expired tells why a call without an answer ended: the client left, or the time is over.
 func (c *call) expired(ctx context.Context) *failure {
 	if ctx.Err() == context.Canceled {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -13,6 +13,7 @@
 	"github.com/bramleypick/bramleypick/placement"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/resultcode"
+	"github.com/bramleypick/bramleypick/routing"
 	"github.com/bramleypick/bramleypick/routingstate"
 )
 
@@ -283,3 +284,18 @@
 	is.True(extra > 10)
 	is.True(float64(extra) <= 0.2*requests+20)
 }
+
+// Guards against an answer that is thrown away because the deadline passes at the moment at which it arrives.
+func TestAnswerAtTheDeadlineIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	c := &call{route: &routing.Route{Kind: routing.Idempotent}}
+	ended := func(err error) *attempt {
+		return &attempt{call: c, cancel: func() {}, isWhole: true, err: err, resp: &http.Response{StatusCode: http.StatusOK}}
+	}
+	results := make(chan *attempt, 2)
+	is.True(c.ready(results) == nil)
+	answer := ended(nil)
+	results <- ended(context.Canceled)
+	results <- answer
+	is.Equal(c.ready(results), answer)
+}
