controlnode: wait until the leader is blocked in TestWithdrawnProposalIsNotAppended

The new test waits until the leader is inside the send, and the proposals then wait for 100 ms in its queue, so all ten must be refused. No product code changed.

--- a/internal/controlnode/failure_test.go
+++ b/internal/controlnode/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -167,15 +168,17 @@
 	forSizes(t, nil, func(t *testing.T, g *group) {
 		is := is.New(t)
 		leader := g.leader()
-		release := make(chan struct{})
+		blocked, release := make(chan struct{}), make(chan struct{})
+		var once sync.Once
 		g.observeSends(func(from replog.NodeID, _ replog.Message) {
 			if from == leader {
+				once.Do(func() { close(blocked) })
 				<-release
 			}
 		})
+		<-blocked // sending a heartbeat; before that the leader could still take a proposal
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		time.Sleep(DefaultTickInterval * DefaultHeartbeatTicks) // the leader is blocked sending a heartbeat
 		o := g.proposeAll(ctx, leader, numbered("c", 10))
 		o.waiting.Wait()
 		close(release)
