cluster: have subscribers told all that a replica saw before it ran, and in order

A process that connected before was never reported to those that were connected already. On a quick disk the founder starts before anybody connects; on a slow one, nobody learns of the others.

Found in the same code: the check whether another link of a process is left and the report that it is lost were two steps, so a process that connected again in between was reported lost for ever; and of two announcements that arrived at the same time the older could be sent to subscribers last. Both now happen under the cluster's lock.

Each of the three tests fails on the former code without a network.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -157,10 +157,10 @@
 
 func (c *Cluster) changeSelf(change func(*roster.Node)) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	before := c.self
 	change(&c.self)
 	if c.self == before {
-		c.mu.Unlock()
 		return
 	}
 	c.self.Seq++
@@ -168,7 +168,6 @@
 	for _, link := range c.dialed {
 		c.sendSelf(link, self)
 	}
-	c.mu.Unlock()
 	c.report(roster.Report{Node: self, Alive: true})
 }
 
@@ -181,15 +180,6 @@
 	link.Send(methodNode, body)
 }
 
-// report takes over what this process itself sees, and tells the subscribers.
-func (c *Cluster) report(r roster.Report) {
-	if !c.nodes.Report(c.cfg.Self.Peer, r, time.Now()) {
-		return
-	}
-	c.markReport(r)
-	c.notify()
-}
-
 // adopt replaces the view by a newer one.
 func (c *Cluster) adopt(v *routingstate.View) {
 	for {
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -121,19 +121,25 @@
 	})
 }
 
-// merge takes over an announcement and tells the subscribers what changed.
+// merge takes over an announcement and has the subscribers told what changed. It holds mu for both, so that a subscriber is
+// told the newer one of two announcements last.
 func (c *Cluster) merge(e registry.Entry) {
+	c.mu.Lock()
 	changed := c.registry.Merge(e, time.Now())
-	if len(changed) == 0 {
-		return
+	for _, s := range c.subscribers {
+		for _, entry := range changed {
+			s.entries[entry.ID] = entry
+		}
 	}
+	c.mu.Unlock()
 	for _, entry := range changed {
 		c.log.Info("upstream", zap.String("upstream", entry.ID), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Stringer("state", entry.State),
 			zap.Int64("born", entry.Born), zap.Uint64("seq", entry.Seq))
 	}
-	c.markEntries(changed)
-	c.notify()
+	if len(changed) > 0 {
+		c.notify()
+	}
 }
 
 // Serve implements nodelink.Handler.
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -27,31 +27,26 @@
 
 // subscribe tells a new subscriber everything.
 func (c *Cluster) subscribe(l *nodelink.Link) {
-	s := &subscriber{reports: make(map[string]roster.Report), entries: make(map[string]registry.Entry), view: true}
+	s := &subscriber{}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.subscribers[l] = s
-	c.mu.Unlock()
+	c.markAll(s)
+}
+
+// markAll has a subscriber told everything. The caller holds mu.
+func (c *Cluster) markAll(s *subscriber) {
+	s.reports, s.entries, s.view = make(map[string]roster.Report), make(map[string]registry.Entry), true
 	for _, n := range c.nodes.Known() {
-		report := roster.Report{Node: n, Alive: c.sees(n)}
-		c.mu.Lock()
-		if _, newer := s.reports[n.IP]; !newer {
-			s.reports[n.IP] = report
-		}
-		c.mu.Unlock()
+		s.reports[n.IP] = roster.Report{Node: n, Alive: c.sees(n)}
 	}
 	for _, e := range c.registry.All(time.Now()) {
-		c.mu.Lock()
-		if _, newer := s.entries[e.ID]; !newer {
-			s.entries[e.ID] = e
-		}
-		c.mu.Unlock()
+		s.entries[e.ID] = e
 	}
 }
 
-// sees tells whether this process has a link from the node, or is it.
+// sees tells whether this process has a link from the node, or is it. The caller holds mu.
 func (c *Cluster) sees(n roster.Node) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if n.IP == c.self.IP {
 		return true
 	}
@@ -66,21 +61,20 @@
 // identify takes over what a subscriber says about itself.
 func (c *Cluster) identify(l *nodelink.Link, n roster.Node) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := c.subscribers[l]
-	if s != nil {
-		s.node = n
-	}
-	c.mu.Unlock()
-	if s != nil {
-		c.report(roster.Report{Node: n, Alive: true})
+	if s == nil {
+		return // the link has ended
 	}
+	s.node = n
+	c.report(roster.Report{Node: n, Alive: true})
 }
 
 func (c *Cluster) unsubscribe(l *nodelink.Link) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := c.subscribers[l]
 	delete(c.subscribers, l)
-	c.mu.Unlock()
 	if s == nil || s.node.IP == "" || c.sees(s.node) {
 		return
 	}
@@ -88,22 +82,16 @@
 	c.report(roster.Report{Node: s.node, Alive: false})
 }
 
-func (c *Cluster) markReport(r roster.Report) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range c.subscribers {
-		s.reports[r.Node.IP] = r
+// report takes over what this process itself sees, and has the subscribers told. The caller holds mu from the moment of
+// seeing it, so that reports about a process that connects again keep their order.
+func (c *Cluster) report(r roster.Report) {
+	if !c.nodes.Report(c.cfg.Self.Peer, r, time.Now()) {
+		return
 	}
-}
-
-func (c *Cluster) markEntries(entries []registry.Entry) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for _, s := range c.subscribers {
-		for _, e := range entries {
-			s.entries[e.ID] = e
-		}
+		s.reports[r.Node.IP] = r
 	}
+	c.notify()
 }
 
 func (c *Cluster) markView() {
--- /dev/null
+++ b/internal/cluster/subscriber_test.go
@@ -0,0 +1,116 @@
+package cluster
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/registry"
+	"github.com/bramleypick/bramleypick/roster"
+)
+
+func unconnected(cfg Config) *Cluster {
+	cfg.Self = roster.Node{IP: "127.0.0.1", Peer: "127.0.0.1:1", Incarnation: 1}
+	cfg.Seeds = func() []string { return []string{cfg.Self.Peer} }
+	cfg.Log = zap.NewNop()
+	return New(cfg)
+}
+
+// Guards against processes that nobody learns of because they connected to a replica before it ran: on a slow disk a replica
+// takes longer to start than the others to connect.
+func TestReplicaTellsWhatItSawBeforeItRan(t *testing.T) {
+	is := is.New(t)
+	c := unconnected(Config{DataDir: t.TempDir(), Found: true})
+	subscriber := &nodelink.Link{Remote: "127.0.0.2:1000"}
+	(*handler)(c).Opened(subscriber)
+	c.identify(subscriber, roster.Node{IP: "127.0.0.2", Incarnation: 1, Seq: 1})
+	c.merge(registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", State: registry.Ready, Born: 1, Seq: 1})
+	c.takeUpdates() // what is sent before the replica runs
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- c.runReplica(ctx) }()
+	told := make(map[string]bool)
+	eventually(t, "the subscriber is told of both processes and the upstream", func() bool {
+		for _, u := range c.takeUpdates() {
+			for _, r := range u.Reports {
+				told[r.Node.IP] = r.Alive
+			}
+			for _, e := range u.Entries {
+				told[e.ID] = true
+			}
+		}
+		return told["127.0.0.1"] && told["127.0.0.2"] && told["u"]
+	})
+	cancel()
+	is.NoErr(<-done)
+}
+
+// Guards against a process that is reported lost for ever because its former link ended while it opened the next one.
+func TestProcessThatConnectsAgainIsAlive(t *testing.T) {
+	is := is.New(t)
+	c := unconnected(Config{})
+	c.mu.Lock()
+	c.replica = &replica{} // only replicas report
+	c.mu.Unlock()
+	h := (*handler)(c)
+	n := roster.Node{IP: "127.0.0.2", Incarnation: 1, Seq: 1}
+	link := &nodelink.Link{Remote: "127.0.0.2:1000"}
+	h.Opened(link)
+	c.identify(link, n)
+	other := &nodelink.Link{Remote: "127.0.0.3:1000"}
+	h.Opened(other)
+	var alive bool // as told to the other subscriber
+	for range 3000 {
+		next := &nodelink.Link{Remote: link.Remote}
+		var both sync.WaitGroup
+		both.Go(func() { h.Closed(link, nil) })
+		both.Go(func() {
+			h.Opened(next)
+			c.identify(next, n)
+		})
+		both.Wait()
+		for _, r := range c.takeUpdates()[other].Reports {
+			if r.Node.IP == n.IP {
+				alive = r.Alive
+			}
+		}
+		is.True(c.nodes.IsAlive(n.IP)) // seen here
+		is.True(alive)                 // and reported
+		link = next
+	}
+}
+
+// Guards against a subscriber that keeps an older announcement of an upstream, because two arrived at the same time.
+func TestSubscriberEndsWithTheNewestEntry(t *testing.T) {
+	is := is.New(t)
+	c := unconnected(Config{})
+	c.mu.Lock()
+	c.replica = &replica{}
+	c.mu.Unlock()
+	subscriber := &nodelink.Link{Remote: "127.0.0.2:1000"}
+	(*handler)(c).Opened(subscriber)
+	states := []registry.State{registry.Ready, registry.Draining}
+	for round := range 2000 {
+		told := registry.New()
+		var all sync.WaitGroup
+		const announcements = 8
+		for seq := range uint64(announcements) {
+			all.Go(func() {
+				c.merge(registry.Entry{ID: strconv.Itoa(round), Service: "s", State: states[seq%2], Born: 1, Seq: seq + 1})
+			})
+		}
+		all.Wait()
+		for _, e := range c.takeUpdates()[subscriber].Entries {
+			told.Merge(e, time.Now())
+		}
+		known, _ := c.registry.Get(strconv.Itoa(round))
+		entry, _ := told.Get(strconv.Itoa(round))
+		is.Equal(entry.State, known.State)
+	}
+}
