placement: keep the owners of upstreams between changes

Cause: each gateway computed the owner of each cold upstream anew for each change of the cluster, upstreams times gateways. The owners are the same.

--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	services map[string]*service
 	view     *routingstate.View
+	// coldOwners tells which gateway may send to an upstream while that is cold.
+	coldOwners *placement.Owners
 }
 
 // New returns a gateway that refuses everything until Update.
@@ -33,7 +35,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond)}
+	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond), coldOwners: placement.NewOwners()}
 }
 
 // World is what a gateway must know besides its configuration.
@@ -57,13 +59,19 @@
 	defer g.mu.Unlock()
 	g.updateRoutes(w.View)
 	byService := make(map[string][]balancing.Upstream)
+	ready := make([]registry.Entry, 0, len(w.Upstreams))
+	keys := make([]placement.Key, 0, len(w.Upstreams))
 	for _, e := range w.Upstreams {
-		if e.State != registry.Ready || w.View.Evacuated[e.Zone] {
-			continue
+		if e.State == registry.Ready && !w.View.Evacuated[e.Zone] {
+			ready = append(ready, e)
+			keys = append(keys, placement.Key{Name: e.ID, Zone: e.Zone})
 		}
+	}
+	g.coldOwners.Update(w.Gateways, keys)
+	for i, e := range ready {
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Born: e.Born, Slots: e.Slots,
-			ColdUntil: now.Add(e.WarmupLeft), ColdShare: w.InTouch && ownsCold(e, w),
+			ColdUntil: now.Add(e.WarmupLeft), ColdShare: w.InTouch && g.coldOwners.Owner(keys[i]) == w.Self,
 		})
 	}
 	for i := range w.View.Config.Services {
@@ -98,20 +106,6 @@
 	g.state.Store(s)
 }
 
-// ownsCold tells whether this gateway is the one that may send to the upstream while it is cold: the first by rendezvous
-// among the gateways of the upstream's zone, or of all zones if that has none.
-func ownsCold(e registry.Entry, w World) bool {
-	best, bestScore, local := "", uint64(0), false
-	for _, m := range w.Gateways {
-		score := placement.Score(e.ID, m.Name)
-		isLocal := m.Zone == e.Zone
-		if best == "" || isLocal && !local || isLocal == local && score > bestScore {
-			best, bestScore, local = m.Name, score, isLocal
-		}
-	}
-	return best == w.Self
-}
-
 // Ready tells whether the gateway has a configuration and is not stopping.
 func (g *Gateway) Ready() bool { return g.state.Load() != nil && !g.closing.Load() }
 
--- /dev/null
+++ b/placement/owners.go
@@ -0,0 +1,68 @@
+package placement
+
+// Key is something that one member at a time is responsible for.
+type Key struct{ Name, Zone string }
+
+// Owners assigns each key to one member: the first by rendezvous among the members of the key's zone, or among all members
+// if that zone has none. It keeps the result between updates, because computing it anew for each change costs keys times
+// members. It is not safe for concurrent use.
+type Owners struct {
+	members map[Member]bool
+	owners  map[Key]claimant
+}
+
+// claimant is the first member that was found so far for a key.
+type claimant struct {
+	Member
+	score uint64
+	local bool
+}
+
+// NewOwners returns an assignment without members and keys.
+func NewOwners() *Owners {
+	return &Owners{members: make(map[Member]bool), owners: make(map[Key]claimant)}
+}
+
+// Update replaces the members and keys. A new member costs one step for each key; a new key, and one whose owner is gone,
+// one for each member.
+func (o *Owners) Update(members []Member, keys []Key) {
+	current := make(map[Member]bool, len(members))
+	var added []Member
+	for _, m := range members {
+		if !o.members[m] && !current[m] {
+			added = append(added, m)
+		}
+		current[m] = true
+	}
+	next := make(map[Key]claimant, len(keys))
+	for _, k := range keys {
+		best, known := o.owners[k]
+		candidates := added
+		if !known || !current[best.Member] {
+			best, candidates = claimant{}, members
+		}
+		for _, m := range candidates {
+			best = best.better(k, m)
+		}
+		if best.Name != "" {
+			next[k] = best
+		}
+	}
+	o.members, o.owners = current, next
+}
+
+// Owner returns the name of a key's owner, or "" without members.
+func (o *Owners) Owner(k Key) string { return o.owners[k].Name }
+
+// better returns the member if it precedes the claimant, and otherwise the claimant.
+func (c claimant) better(k Key, m Member) claimant {
+	local := m.Zone == k.Zone
+	if c.Name != "" && c.local && !local {
+		return c
+	}
+	score := Score(k.Name, m.Name)
+	if c.Name == "" || local && !c.local || score > c.score || score == c.score && m.Name < c.Name {
+		return claimant{Member: m, score: score, local: local}
+	}
+	return c
+}
