Share failures of upstreams between gateways

Cause: with 108 gateways and 110 upstreams each gateway sends an upstream one request in about 20 s. Each had to find by itself which upstreams fail, hang or are unreachable, and forgot it before the next request.

Now each gateway reports what failed (requests, probes, and requests that are overdue at an upstream that is well and undisturbed) every 250 ms to one replica, which passes it on; reported upstreams are used last for up to 5 s. A gateway at which most fails keeps it to itself. A kept connection that the upstream had dropped does not count.

--- a/balancing/load_test.go
+++ b/balancing/load_test.go
@@ -61,3 +61,23 @@
 		is.True(float64(calm.refused) <= lateTarget*float64(calm.requests))
 	}
 }
+
+// Load: the status desk of the grown deployment, 110 upstreams and 108 gateways, of which each sends an upstream one request
+// in 20 s; 14 % of the upstreams fail 45 % of the requests while their health is good. Guards against each gateway having to
+// find every failing upstream by itself: told of the failures that others saw, callers must get fewer of them.
+func TestFailuresThatOthersSaw(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(3) {
+		s := simulation{
+			seed: seed, hosts: 110, gateways: 108, perSecond: 524, slowShare: 0.25, target: 300 * time.Millisecond,
+			length: 10 * time.Second, probe: true, failing: 0.14, failRate: 0.45,
+		}
+		before := s.run()
+		s.shareAfter = 500 * time.Millisecond
+		after := s.run()
+		t.Logf("seed %d: %d of %d failed when each gateway learns by itself, %d when told; in time %.3f and %.3f", seed,
+			before.failed, before.requests, after.failed, after.share(), before.share())
+		is.True(2*after.failed < before.failed)
+		is.True(after.share() > before.share())
+	}
+}
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -12,6 +12,8 @@
 	// workGain and paceGain are the weights of a new sample in the running means.
 	workGain = 0.05
 	paceGain = 0.02
+	// disturbedPace is the pace from which on an upstream counts as disturbed. Undisturbed ones report 1, with some spread.
+	disturbedPace = 2.0
 	// defaultRoundTrip is assumed to upstreams in other zones until it was measured.
 	defaultRoundTrip = 2 * time.Millisecond
 )
@@ -75,7 +77,7 @@
 		}
 		ranked = append(ranked, Candidate{
 			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
-			Age: s.age(t, now), Suspect: t.failureScore(now) > suspectScore, Free: t.occupied(now) < t.slots(),
+			Age: s.age(t, now), Suspect: t.suspect(now), Free: t.occupied(now) < t.slots(),
 			Verified: cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		})
 	}
@@ -210,6 +212,27 @@
 	}
 }
 
+// ObserveReported takes over that other gateways saw requests to an upstream fail, or could not reach it. It returns whether
+// the upstream is suspected because of that and was not before. With many gateways, each sends too few requests to an upstream
+// to find out by itself.
+func (s *Service) ObserveReported(id string, failures int, now time.Time) bool {
+	t := s.targets[id]
+	if t == nil {
+		return false
+	}
+	before := t.suspect(now)
+	t.reported, t.reportedAt = min(reportedMax, t.reportedScore(now)+reportedWeight*float64(failures)), now
+	return !before && t.suspect(now)
+}
+
+// Undisturbed tells whether an upstream's last reported load is current and shows that requests run there at their usual
+// speed.
+func (s *Service) Undisturbed(id string, now time.Time) bool {
+	t := s.targets[id]
+	return t != nil && t.load.Pace > 0 && t.load.Pace < disturbedPace && now.Sub(t.loadAt) <= paceMemory &&
+		t.load.Waiting == 0
+}
+
 // Lost records that an upstream could not be reached, or gave no answer to a probe.
 func (s *Service) Lost(id string, now time.Time) {
 	t := s.targets[id]
--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -14,6 +14,7 @@
 	slots    int
 	running  int
 	queue    []*job
+	failing  bool
 	slow     func(period int64) bool
 }
 
@@ -66,12 +67,16 @@
 	length    time.Duration
 	// probe asks the best candidates before sending, as the gateways do.
 	probe bool
+	// failing is the share of the hosts at which failRate of the requests fail, although their health responses are good.
+	failing, failRate float64
+	// shareAfter is the time after which gateways learn of failures that others saw. Zero means never.
+	shareAfter time.Duration
 	// admit refuses requests that no upstream would answer in time.
 	admit bool
 }
 
 // result counts what callers got.
-type result struct{ requests, inTarget, refused int }
+type result struct{ requests, inTarget, refused, failed int }
 
 func (r result) share() float64 { return float64(r.inTarget) / float64(r.requests) }
 
@@ -81,13 +86,13 @@
 	hosts := make(map[string]*host)
 	var upstreams []Upstream
 	for i := range s.hosts {
-		id := fmt.Sprintf("u%02d", i)
+		id := fmt.Sprintf("u%03d", i)
 		noise := rand.New(rand.NewPCG(s.seed, uint64(i)+100))
 		var slow []bool
 		for range s.length/noisePeriod + 100 {
 			slow = append(slow, noise.Float64() < s.slowShare)
 		}
-		hosts[id] = &host{id: id, zone: "z", slots: 3, slow: func(p int64) bool { return slow[min(p, int64(len(slow)-1))] }}
+		hosts[id] = &host{id: id, zone: "z", slots: 3, failing: float64(i) < s.failing*float64(s.hosts), slow: func(p int64) bool { return slow[min(p, int64(len(slow)-1))] }}
 		upstreams = append(upstreams, Upstream{ID: id, Address: id, Zone: "z", Born: 1, Slots: 3})
 	}
 	services := make([]*Service, s.gateways)
@@ -97,12 +102,22 @@
 	}
 	var running jobs
 	var r result
+	reports := make(map[int64]map[string][]int) // by period of shareAfter and host: who saw failures
+	fails := rand.New(rand.NewPCG(s.seed, 8))
 	finish := func(until time.Duration) {
 		for len(running) > 0 && running[0].ends <= until {
 			j := heap.Pop(&running).(*job)
 			now := epoch.Add(j.ends)
 			took := j.ends - j.arrived
-			services[j.gateway].End(j.host.id, Answered, took, now)
+			outcome := Answered
+			if j.host.failing && fails.Float64() < s.failRate {
+				outcome = Failed
+				r.failed++
+				if s.shareAfter > 0 {
+					s.report(reports, j)
+				}
+			}
+			services[j.gateway].End(j.host.id, outcome, took, now)
 			j.host.running--
 			if len(j.host.queue) > 0 {
 				next := j.host.queue[0]
@@ -112,14 +127,32 @@
 				heap.Push(&running, next)
 			}
 			services[j.gateway].Observe(j.host.id, j.host.load(j.ends), now)
-			if took <= s.target {
+			if outcome == Answered && took <= s.target {
 				r.inTarget++
 			}
 		}
 	}
+	var period int64
+	learn := func(at time.Duration) {
+		for ; s.shareAfter > 0 && period < int64(at/s.shareAfter); period++ {
+			for id, seenBy := range reports[period] {
+				for g, service := range services {
+					others := 0
+					for _, reporter := range seenBy {
+						if reporter != g {
+							others++
+						}
+					}
+					service.ObserveReported(id, others, epoch.Add(time.Duration(period+1)*s.shareAfter))
+				}
+			}
+			delete(reports, period)
+		}
+	}
 	p := Preferences{Zone: "z", Target: s.target, Left: 5 * s.target}
 	for at := time.Duration(0); at < s.length; at += time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)) {
 		finish(at)
+		learn(at)
 		gateway := random.IntN(s.gateways)
 		service, now := services[gateway], epoch.Add(at)
 		ranked := service.Rank(p, now)
@@ -158,3 +191,12 @@
 	finish(1 << 62)
 	return r
 }
+
+// report keeps a failure for the gateways that did not see it.
+func (s simulation) report(reports map[int64]map[string][]int, j *job) {
+	period := int64(j.ends / s.shareAfter)
+	if reports[period] == nil {
+		reports[period] = make(map[string][]int)
+	}
+	reports[period][j.host.id] = append(reports[period][j.host.id], j.gateway)
+}
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -15,6 +15,13 @@
 	failureMemory = 2 * time.Second
 	// failureWeight is what one failure adds to the failure score.
 	failureWeight = 0.4
+	// reportedWeight is what one failure that another gateway reported adds: two of them within reportedMemory are needed
+	// before an upstream is suspected, because 0.4 % of the requests fail everywhere.
+	reportedWeight = 0.2
+	// reportedMemory is the time constant with which reported failures are forgotten, and reportedMax bounds their score, so
+	// that an upstream that is well again is used after 5 s. A shorter memory lets more requests fail (TestFailuresThatOthersSaw).
+	reportedMemory = 4 * time.Second
+	reportedMax    = 1.0
 	// suspectScore is the failure score above which an upstream is used only if there is no other.
 	suspectScore = 0.3
 	// kneeShare and kneeFactor: upstreams slow down when they are nearly full.
@@ -40,6 +47,8 @@
 	inflight   int
 	failures   float64
 	failuresAt time.Time
+	reported   float64 // failures seen by other gateways
+	reportedAt time.Time
 	away       time.Time // not used before
 	awayFor    time.Duration
 	moved      bool // the address belongs to another upstream
@@ -76,6 +85,14 @@
 	t.failures, t.failuresAt = t.failureScore(now)*(1-failureWeight/2), now
 }
 
+func (t *target) reportedScore(now time.Time) float64 {
+	return t.reported * math.Exp(-float64(now.Sub(t.reportedAt))/float64(reportedMemory))
+}
+
+func (t *target) suspect(now time.Time) bool {
+	return t.failureScore(now) > suspectScore || t.reportedScore(now) > suspectScore
+}
+
 // pace mixes the last reported pace with the service's mean by age.
 func (t *target) pace(now time.Time, mean float64) float64 {
 	if t.load.Pace <= 0 {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -47,6 +47,9 @@
 
 // New returns a cluster that is not running.
 func New(cfg Config) *Cluster {
+	if cfg.Failures == nil {
+		cfg.Failures = func(map[string]int) {}
+	}
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), fetches: make(chan *nodelink.Link, 16),
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 }
 
 // deployment starts replicas and other processes that know only the replicas' addresses.
-func deployment(t *testing.T, replicas, others int) []*process {
+func deployment(t *testing.T, replicas, others int, changes ...func(*Config)) []*process {
 	t.Helper()
 	nodes := make([]roster.Node, replicas+others)
 	var seeds []string
@@ -81,6 +82,9 @@
 		if i < replicas {
 			cfg.DataDir, cfg.Found = t.TempDir(), true
 		}
+		for _, change := range changes {
+			change(&cfg)
+		}
 		all = append(all, startProcess(t, cfg))
 	}
 	return all
@@ -352,3 +356,39 @@
 	cancel()
 	is.New(t).NoErr(<-done)
 }
+
+// Guards against a process that does not learn which upstreams fail for others, and against one that counts what it saw itself
+// twice.
+func TestFailuresReachTheOthers(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	told := make(map[string]int) // by process and upstream
+	count := func(process, upstream string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return told[process+" "+upstream]
+	}
+	all := deployment(t, 3, 2, func(cfg *Config) {
+		name := cfg.Self.Name
+		cfg.Failures = func(seen map[string]int) {
+			mu.Lock()
+			defer mu.Unlock()
+			for id, n := range seen {
+				told[name+" "+id] += n
+			}
+		}
+	})
+	for _, p := range all {
+		eventually(t, "everybody is connected to the replicas", func() bool { return len(p.links()) >= 2 && len(p.Nodes()) == len(all) })
+	}
+	all[0].ShareFailures(map[string]int{"u": 1}) // a replica
+	all[4].ShareFailures(map[string]int{"v": 2}) // none
+	for i, p := range all {
+		eventually(t, "the others are told once", func() bool {
+			u, v := count(p.cfg.Self.Name, "u"), count(p.cfg.Self.Name, "v")
+			return u == map[bool]int{true: 0, false: 1}[i == 0] && v == map[bool]int{true: 0, false: 2}[i == 4]
+		})
+	}
+	is.Equal(count(all[0].cfg.Self.Name, "u"), 0)
+	is.Equal(count(all[4].cfg.Self.Name, "v"), 0)
+}
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -20,5 +20,7 @@
 	Found bool
 	// SilentUpstream is how long the entry of an upstream is kept that no process hears of. Zero means for ever.
 	SilentUpstream time.Duration
-	Log            *zap.Logger
+	// Failures is told how many requests failed at upstreams, as other processes saw it. It must not block.
+	Failures func(map[string]int)
+	Log      *zap.Logger
 }
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -67,6 +67,11 @@
 		if err = decode(body, &u); err == nil {
 			c.update(l, u)
 		}
+	case methodFailures:
+		var f failures
+		if err = decode(body, &f); err == nil {
+			c.relayFailures(l, f)
+		}
 	case methodReplog:
 		var message replog.Message
 		if err = decode(body, &message); err == nil {
@@ -92,6 +97,9 @@
 	for _, e := range u.Entries {
 		c.merge(e)
 	}
+	if len(u.Failures) > 0 {
+		c.cfg.Failures(u.Failures)
+	}
 	for _, n := range u.Replicas {
 		// From a process that is no replica: reason enough to dial, none to send clients there.
 		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -11,15 +11,16 @@
 
 // Methods on links between processes. The numbers are part of the protocol.
 const (
-	methodNode     nodelink.Method = 1 // one-way, to the dialed process: roster.Node of the dialing one
-	methodUpdate   nodelink.Method = 2 // one-way, from the dialed process: update
-	methodReplog   nodelink.Method = 3 // one-way, between replicas: replog.Message
-	methodAnnounce nodelink.Method = 4 // call to a replica: registry.Entry; answered once it is known widely enough
-	methodHold     nodelink.Method = 5 // call between replicas: registry.Entry; answered once it is merged
-	methodSubmit   nodelink.Method = 6 // call to a replica: submission, answered with a routingstate.Result
-	methodRead     nodelink.Method = 7 // call to a replica: submission, answered with the newest routingstate.View, compressed
-	methodView     nodelink.Method = 8 // call to a replica: viewRequest, answered with viewReply
-	methodStatus   nodelink.Method = 9 // call: nothing, answered with status
+	methodNode     nodelink.Method = 1  // one-way, to the dialed process: roster.Node of the dialing one
+	methodUpdate   nodelink.Method = 2  // one-way, from the dialed process: update
+	methodReplog   nodelink.Method = 3  // one-way, between replicas: replog.Message
+	methodAnnounce nodelink.Method = 4  // call to a replica: registry.Entry; answered once it is known widely enough
+	methodHold     nodelink.Method = 5  // call between replicas: registry.Entry; answered once it is merged
+	methodSubmit   nodelink.Method = 6  // call to a replica: submission, answered with a routingstate.Result
+	methodRead     nodelink.Method = 7  // call to a replica: submission, answered with the newest routingstate.View, compressed
+	methodView     nodelink.Method = 8  // call to a replica: viewRequest, answered with viewReply
+	methodStatus   nodelink.Method = 9  // call: nothing, answered with status
+	methodFailures nodelink.Method = 10 // one-way, to a replica that passes it on: failures
 )
 
 // update tells a process what changed.
@@ -30,6 +31,19 @@
 	ViewIndex uint64 `cbor:"3,keyasint,omitempty"`
 	// Replicas are control replicas to dial, from a process that is none itself.
 	Replicas []roster.Node `cbor:"4,keyasint,omitempty"`
+	// Failures are what other processes saw.
+	Failures failures `cbor:"5,keyasint,omitempty"`
+}
+
+// failures counts the requests that failed at upstreams, by the upstream's id.
+type failures map[string]int
+
+func (f failures) add(more failures) {
+	for id, n := range more {
+		if _, known := f[id]; known || len(f) < maxFailing {
+			f[id] += n
+		}
+	}
 }
 
 // submission is a command for the log, or a read if Command is empty.
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -21,13 +21,16 @@
 	reports map[string]roster.Report
 	entries map[string]registry.Entry
 	view    bool
+	// failures have not been told since toldFailures.
+	failures     failures
+	toldFailures time.Time
 }
 
 func (s *subscriber) pending() bool { return len(s.reports) > 0 || len(s.entries) > 0 || s.view }
 
 // subscribe tells a new subscriber everything.
 func (c *Cluster) subscribe(l *nodelink.Link) {
-	s := &subscriber{}
+	s := &subscriber{failures: make(failures)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers[l] = s
@@ -133,15 +136,15 @@
 			}
 		}
 	}
-	index := c.View().Index
+	index, now := c.View().Index, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	updates := make(map[*nodelink.Link]update)
 	for l, s := range c.subscribers {
-		if !s.pending() {
+		u := update{Failures: s.takeFailures(now)}
+		if !s.pending() && len(u.Failures) == 0 {
 			continue
 		}
-		var u update
 		if isReplica {
 			for _, r := range s.reports {
 				u.Reports = append(u.Reports, r)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,10 @@
 	err     error
 	// notRun tells that the upstream certainly did not begin the request.
 	notRun bool
+	// stale tells that the upstream had dropped the kept connection; that says nothing about the upstream.
+	stale bool
+	// ended is set once the attempt has a result.
+	ended atomic.Bool
 }
 
 func newAttempt(ctx context.Context, c *call, candidate balancing.Candidate) *attempt {
@@ -41,6 +46,7 @@
 // run sends the request and reads the response, and hands itself over.
 func (a *attempt) run(results chan<- *attempt) {
 	a.exchange()
+	a.ended.Store(true)
 	now := time.Now()
 	outcome := a.outcome()
 	a.call.service.mu.Lock()
@@ -51,6 +57,9 @@
 		}
 	}
 	a.call.service.mu.Unlock()
+	if failed := outcome == balancing.Failed || outcome == balancing.Unreachable; failed || outcome == balancing.Answered {
+		a.call.g.failures.note(a.candidate.ID, failed, now)
+	}
 	results <- a
 }
 
@@ -65,9 +74,11 @@
 		a.err, a.notRun = err, true
 		return
 	}
+	idle := conn.IdleFor()
 	resp, out, err := conn.Exchange(a.ctx, a.request())
 	if err != nil {
 		a.err, a.notRun = err, out.BytesWritten == 0
+		a.stale = errors.Is(err, upstreamconn.ErrCut) && out.BytesRead == 0 && idle > provenFor
 		return
 	}
 	a.resp = resp
@@ -131,7 +142,7 @@
 		return balancing.Unreachable
 	case errors.Is(a.err, upstreamconn.ErrMaxConnections):
 		return balancing.Shed
-	case errors.Is(a.err, context.Canceled):
+	case a.stale, errors.Is(a.err, context.Canceled):
 		return balancing.Abandoned
 	case a.err != nil || a.resp.StatusCode >= http.StatusInternalServerError:
 		return balancing.Failed
@@ -139,6 +150,26 @@
 	return balancing.Answered
 }
 
+// checkOverdue asks the upstream of an attempt that takes unusually long for its load. If the upstream is well and undisturbed
+// and the attempt still has no answer, that counts as a failure for all gateways: the upstream drops or holds requests.
+func (a *attempt) checkOverdue() {
+	s := a.call.service
+	if !s.canAsk() {
+		return
+	}
+	s.probe(a.ctx, a.candidate)
+	now := time.Now()
+	s.mu.Lock()
+	overdue := !a.ended.Load() && a.ctx.Err() == nil && s.balancer.Undisturbed(a.candidate.ID, now)
+	if overdue {
+		s.balancer.ObserveReported(a.candidate.ID, 1, now)
+	}
+	s.mu.Unlock()
+	if overdue {
+		s.failures.note(a.candidate.ID, true, now)
+	}
+}
+
 // passable tells whether the attempt's response is the client's answer without a further try.
 func (a *attempt) passable(c *call) bool {
 	if a.err != nil || a.notRun {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -84,6 +84,7 @@
 				return a, nil
 			}
 		case <-hedge.C:
+			go first.checkOverdue()
 			if next, ok := c.hedge(ctx, results); ok {
 				running = append(running, next)
 			}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -20,12 +20,15 @@
 	closing  atomic.Bool
 	buffered atomic.Int64
 	bulk     *bulk
+	failures *failures
 	// logBudget bounds the lines about requests that were answered at the first try.
 	logBudget asynclog.Budget
 
 	mu       sync.Mutex
 	services map[string]*service
-	view     *routingstate.View
+	// serviceOf holds the service of each upstream that may get requests.
+	serviceOf map[string]*service
+	view      *routingstate.View
 	// coldOwners tells which gateway may send to an upstream while that is cold.
 	coldOwners *placement.Owners
 }
@@ -35,7 +38,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond), coldOwners: placement.NewOwners()}
+	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond), failures: newFailures(), coldOwners: placement.NewOwners()}
 }
 
 // World is what a gateway must know besides its configuration.
@@ -74,13 +77,17 @@
 			ColdUntil: now.Add(e.WarmupLeft), ColdShare: w.InTouch && g.coldOwners.Owner(keys[i]) == w.Self,
 		})
 	}
+	g.serviceOf = make(map[string]*service, len(ready))
 	for i := range w.View.Config.Services {
 		c := &w.View.Config.Services[i]
 		s := g.services[c.Name]
 		if s == nil {
-			s = newService(g.cfg, c.Name, g.bulk)
+			s = newService(g.cfg, c.Name, g.bulk, g.failures)
 			g.services[c.Name] = s
 		}
+		for _, u := range byService[c.Name] {
+			g.serviceOf[u.ID] = s
+		}
 		s.update(c, byService[c.Name], max(1, len(w.Gateways)), now)
 	}
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -15,6 +15,7 @@
 	cfg        Config
 	name       string
 	bulk       *bulk
+	failures   *failures
 	metrics    *serviceMetrics
 	budget     *retrybudget.Window
 	mu         sync.Mutex
@@ -25,9 +26,9 @@
 	reportsNo  bool                          // upstreams of the service report no load, so asking them tells nothing
 }
 
-func newService(cfg Config, name string, b *bulk) *service {
+func newService(cfg Config, name string, b *bulk, f *failures) *service {
 	return &service{
-		cfg: cfg, name: name, bulk: b, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		cfg: cfg, name: name, bulk: b, failures: f, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -24,6 +24,9 @@
 	// takes, such as the end of a warm-up.
 	refreshInterval = 20 * time.Millisecond
 	refreshAtLeast  = time.Second
+	// shareInterval is the time between two reports of failing upstreams to the other processes, each of which is told of the
+	// others' as often. A failing upstream gets 5 requests a second where upstreams are busiest.
+	shareInterval = 250 * time.Millisecond
 	// readHeaderTimeout bounds the arrival of a client's header; clients may take the 3 s of the usual limits.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is how long an idle client connection is kept; clients may use one that was idle for 12 s.
@@ -70,6 +73,7 @@
 		},
 		Seeds:   func() []string { return append([]string(nil), n.settings.Load().SeedPeers...) },
 		DataDir: s.DataDir, Found: s.FirstStart, Log: log.Named("cluster"),
+		Failures: func(seen map[string]int) { n.gateway.ObserveFailures(seen, time.Now()) },
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
@@ -92,6 +96,7 @@
 	})
 	duties.Go(func() { n.refresh(running) })
 	duties.Go(func() { n.reload(running) })
+	duties.Go(func() { n.shareFailures(running) })
 	control, directory, ready := n.adapter.Handlers(n)
 	entry := n.entryServer()
 	servers := []server{entry, n.server(control), n.server(directory), n.server(ready), n.server(n.metricsHandler())}
@@ -183,6 +188,22 @@
 	}
 }
 
+// shareFailures tells the other processes which upstreams fail.
+func (n *Node) shareFailures(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if seen := n.gateway.TakeFailures(); len(seen) > 0 {
+			n.cluster.ShareFailures(seen)
+		}
+	}
+}
+
 func (n *Node) update() {
 	var gateways []placement.Member
 	for _, node := range n.cluster.Nodes() {
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Conn is the right to one exchange on a connection.
@@ -26,6 +27,14 @@
 // Reused reports whether the connection has carried another exchange before.
 func (c *Conn) Reused() bool { return c.reused }
 
+// IdleFor returns how long a reused connection has carried no exchange, and zero for a new one.
+func (c *Conn) IdleFor() time.Duration {
+	if !c.reused {
+		return 0
+	}
+	return time.Since(c.transport.idleSince)
+}
+
 // Release gives the connection back without an exchange. It does nothing after Exchange.
 func (c *Conn) Release() {
 	if !c.used.Swap(true) {
