Add bramleypick explain, which finds a request's story in the logs of several VMs

It prints the lines about the request, each after what its process believed then about the configuration, the upstreams that the line names and the replicas, with its age; it passes over cut lines and says what is missing.

--- a/cmd/bramleypick/main.go
+++ b/cmd/bramleypick/main.go
@@ -29,6 +29,7 @@
 		Commands: []*cli.Command{
 			runCommand(), entryCommand(), bootstrapCommand(), checkCommand(),
 			applyCommand(), configCommand(), statusCommand(), stopCommand(), returnCommand(),
+			explainCommand(),
 			keysCommand(), trialCommand(), loadgen.Command(),
 		},
 	}
--- /dev/null
+++ b/internal/explain/line.go
@@ -0,0 +1,90 @@
+package explain
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Names of fields and messages that the processes log.
+const (
+	fieldTime      = "ts"
+	fieldMessage   = "msg"
+	fieldVM        = "vm"
+	fieldRequest   = "request"
+	fieldUpstream  = "upstream"
+	fieldUpstreams = "upstreams"
+	fieldPassed    = "passed_over"
+	messageView    = "view in force"
+	messageLost    = "replica lost"
+	messageFound   = "replica connected"
+	messageLeftOut = "lines left out"
+)
+
+// line is one structured line of a log.
+type line struct {
+	fields map[string]any
+}
+
+// parse reads a line. What stands before the opening brace, such as a collector's own time, is passed over. It returns false for
+// lines that are no structured ones, or are cut.
+func parse(text []byte) (line, bool) {
+	begin := bytes.IndexByte(text, '{')
+	if begin < 0 {
+		return line{}, false
+	}
+	var l line
+	if err := json.Unmarshal(text[begin:], &l.fields); err != nil || l.message() == "" {
+		return line{}, false
+	}
+	return l, true
+}
+
+func (l line) text(field string) string {
+	s, _ := l.fields[field].(string)
+	return s
+}
+
+func (l line) message() string { return l.text(fieldMessage) }
+
+// seconds is the time of the line on its VM's clock.
+func (l line) seconds() float64 {
+	t, _ := l.fields[fieldTime].(float64)
+	return t
+}
+
+// upstreams returns the upstreams that the line names.
+func (l line) upstreams() []string {
+	var ids []string
+	for _, field := range []string{fieldUpstream, fieldPassed} {
+		if id := l.text(field); id != "" {
+			ids = append(ids, id)
+		}
+	}
+	list, _ := l.fields[fieldUpstreams].([]any)
+	for _, id := range list {
+		if s, ok := id.(string); ok && !slices.Contains(ids, s) {
+			ids = append(ids, s)
+		}
+	}
+	return ids
+}
+
+// describe returns the message and the fields that are not in every line, in a fixed order.
+func (l line) describe() string {
+	var names []string
+	for name := range l.fields {
+		if !slices.Contains([]string{fieldTime, fieldMessage, fieldVM, fieldRequest, "level", "logger", "zone"}, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	b.WriteString(l.message())
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/explain/story_test.go
@@ -0,0 +1,62 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const logOfA = `  -9.9420 vm-a {"level":"info","ts":100.5,"logger":"cluster","msg":"view in force","vm":"vm-a","index":3,"config_version":7}
+{"level":"info","ts":101,"msg":"upstream","vm":"vm-a","upstream":"u1","state":"ready"}
+{"level":"info","ts":102,"msg":"upstream","vm":"vm-a","upstream":"u1","state":"draining"}
+{"level":"info","ts":102,"msg":"upstream","vm":"vm-a","upstream":"u2","state":"ready"}
+{"level":"info","ts":102.5,"msg":"upstreams suspected because other gateways saw failures","vm":"vm-a","upstreams":["u1","u3"]}
+{"level":"warn","ts":103,"msg":"replica lost","vm":"vm-a","replica":"r1","cause":"EOF"}
+{"level":"warn","ts":103,"msg":"replica lost","vm":"vm-a","replica":"r2","cause":"EOF"}
+{"level":"info","ts":103.5,"msg":"replica connected","vm":"vm-a","replica":"r2"}
+{"level":"warn","ts":103.6,"msg":"lines left out","vm":"vm-a","lines":12}
+{"level":"info","ts":104,"msg":"refused","vm":"vm-a","request":"id2","passed_over":"u1","code":1017}
+{"level":"info","ts":104,"msg":"refused","vm":"vm-a","request":"id1","passed_over":"u1","code":1005}
+{"level":"info","ts":104.1,"msg":"answe`
+
+const logOfB = `{"level":"info","ts":90,"msg":"response broken off","request":"id1","upstream":"u9"}
+no structured line
+`
+
+// Guards against a story that mixes up requests, VMs or what was believed before and after, and against cut lines that end the
+// reading.
+func TestStory(t *testing.T) {
+	is := is.New(t)
+	s := New("id1")
+	is.NoErr(s.Add("a.log", strings.NewReader(logOfA)))
+	is.NoErr(s.Add("b.log", strings.NewReader(logOfB)))
+	var out strings.Builder
+	found, err := s.Print(&out)
+	is.NoErr(err)
+	is.True(found)
+	is.Equal(out.String(), `2 VMs name the request; times are those of each VM's own clock
+b.log
+  90.000: response broken off upstream=u9
+vm-a
+  12 lines of this VM are missing, because its log was not read fast enough
+  since    3.500 s before: view in force config_version=7 index=3
+  since    2.000 s before: upstream state=draining upstream=u1
+  since    1.500 s before: upstreams suspected because other gateways saw failures upstreams=[u1 u3]
+  since    1.000 s before: replica lost cause=EOF replica=r1
+  104.000: refused code=1005 passed_over=u1
+2 lines could not be read
+`)
+}
+
+// Guards against silence about a request that no log names.
+func TestUnknownRequest(t *testing.T) {
+	is := is.New(t)
+	s := New("id3")
+	is.NoErr(s.Add("a.log", strings.NewReader(logOfA)))
+	var out strings.Builder
+	found, err := s.Print(&out)
+	is.NoErr(err)
+	is.True(!found)
+	is.True(strings.Contains(out.String(), "no line names request id3"))
+}
