cluster: compress large updates; edge: a starting gateway lets requests wait for its first configuration

Requests that arrive within the last 250 ms before the first configuration are now served instead of refused: their clients would find the other gateways in the same state.

--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -62,6 +62,11 @@
 		if err = decode(body, &n); err == nil {
 			c.identify(l, n)
 		}
+	case methodPacked:
+		var plain []byte
+		if plain, err = decompress(body); err == nil {
+			h.Receive(l, methodUpdate, plain)
+		}
 	case methodUpdate:
 		var u update
 		if err = decode(body, &u); err == nil {
--- a/internal/cluster/history.go
+++ b/internal/cluster/history.go
@@ -1,9 +1,6 @@
 package cluster
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -117,25 +114,3 @@
 	}
 	return m.View(), nil
 }
-
-func compress(data []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if _, err := w.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	return out.Bytes(), nil
-}
-
-func decompress(data []byte) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(data))
-	defer r.Close()
-	out, err := io.ReadAll(io.LimitReader(r, maxViewBytes))
-	return out, errors.Wrap(err, "decompress")
-}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -21,6 +21,7 @@
 	methodView     nodelink.Method = 8  // call to a replica: viewRequest, answered with viewReply
 	methodStatus   nodelink.Method = 9  // call: nothing, answered with status
 	methodFailures nodelink.Method = 10 // one-way, to a replica that passes it on: failures
+	methodPacked   nodelink.Method = 11 // methodUpdate with a compressed body
 )
 
 // update tells a process what changed.
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -14,6 +14,10 @@
 // publishInterval bounds how often a subscriber is told; changes in between are sent together.
 const publishInterval = 20 * time.Millisecond
 
+// packFrom is the length in bytes from which an update is compressed. 190 upstreams and 108 processes take 23 KB, and a process that starts on a
+// link of 6 Mbit/s gets them from each of six replicas: 0.2 s in which it serves nobody.
+const packFrom = 2 << 10
+
 // subscriber is a process that dialed this one. What it has not been told is kept by key, so that it is bounded by the
 // number of processes and upstreams however slowly the subscriber reads.
 type subscriber struct {
@@ -116,16 +120,29 @@
 			return
 		}
 		for l, u := range c.takeUpdates() {
-			body, err := encode(u)
-			if err != nil {
+			if err := sendUpdate(l, u); err != nil {
 				c.log.Error("update not encoded", zap.Error(err))
-				continue
 			}
-			l.Send(methodUpdate, body)
 		}
 	}
 }
 
+func sendUpdate(l *nodelink.Link, u update) error {
+	body, err := encode(u)
+	if err != nil {
+		return err
+	}
+	method := methodUpdate
+	if len(body) >= packFrom {
+		method = methodPacked
+		if body, err = compress(body); err != nil {
+			return err
+		}
+	}
+	l.Send(method, body)
+	return nil
+}
+
 func (c *Cluster) takeUpdates() map[*nodelink.Link]update {
 	isReplica := c.runningReplica() != nil
 	var replicas []roster.Node
--- a/internal/cluster/subscriber_test.go
+++ b/internal/cluster/subscriber_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"testing"
@@ -114,3 +116,33 @@
 		is.Equal(entry.State, known.State)
 	}
 }
+
+// Guards against a snapshot of the upstreams that takes a starting process longer than its links to open: it comes from each
+// replica, over a link of 6 Mbit/s.
+func TestSnapshotIsSmallOnTheWire(t *testing.T) {
+	is := is.New(t)
+	var u update
+	for i := range 190 {
+		u.Entries = append(u.Entries, registry.Entry{
+			ID: fmt.Sprintf("i-%010x", rand.Uint64()>>24), Service: "s" + strconv.Itoa(i%3), Address: fmt.Sprintf("10.%d.64.%d:8286", i%3+1, i),
+			Zone: "zone-" + strconv.Itoa(i%3), State: registry.Ready, Born: 1772013657250 + int64(i*137), Seq: uint64(i), Slots: 3,
+		})
+	}
+	for i := range 108 {
+		ip := fmt.Sprintf("10.%d.0.%d", i%3+1, i)
+		u.Reports = append(u.Reports, roster.Report{Alive: true, Node: roster.Node{
+			IP: ip, Name: "front-zone-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%3), Incarnation: 1772013657250 + int64(i*137),
+			Entry: ip + ":8285", Control: ip + ":7600", Peer: ip + ":7680", State: roster.Serving, Seq: 2,
+		}})
+	}
+	plain, err := encode(u)
+	is.NoErr(err)
+	packed, err := compress(plain)
+	is.NoErr(err)
+	t.Logf("%d bytes, %d compressed", len(plain), len(packed))
+	const replicas, bitsPerSecond, limit = 6, 6e6, 0.1 // s
+	is.True(float64(replicas*len(packed)*8)/bitsPerSecond < limit)
+	c := unconnected(Config{})
+	(*handler)(c).Receive(&nodelink.Link{Remote: "127.0.0.2:1000"}, methodPacked, packed)
+	is.Equal(len(c.Upstreams()), len(u.Entries))
+}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -56,6 +56,9 @@
 	dialTimeout = 150 * time.Millisecond
 	// provenFor is how recently a connection must have carried an exchange to carry a request that may run only once.
 	provenFor = 100 * time.Millisecond
+	// startWait is how long a request waits for a gateway's first configuration. Links open and a configuration arrives within
+	// 300 ms on a VM of 0.16 cores, and the shortest latency objective of the sites is 250 ms.
+	startWait = 250 * time.Millisecond
 	// waitShare is the share of the latency objective for which a request waits for an upstream before it is refused.
 	waitShare = 0.12
 	// waitStep is the pause between two looks for an upstream.
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -15,12 +15,14 @@
 
 // Gateway serves clients. It implements http.Handler.
 type Gateway struct {
-	cfg      Config
-	state    atomic.Pointer[state]
-	closing  atomic.Bool
-	buffered atomic.Int64
-	bulk     *bulk
-	failures *failures
+	cfg   Config
+	state atomic.Pointer[state]
+	// configured is closed once there is a configuration.
+	configured chan struct{}
+	closing    atomic.Bool
+	buffered   atomic.Int64
+	bulk       *bulk
+	failures   *failures
 	// logBudget bounds the lines about requests that were answered at the first try.
 	logBudget asynclog.Budget
 
@@ -38,7 +40,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Gateway{cfg: cfg, services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond), failures: newFailures(), coldOwners: placement.NewOwners()}
+	return &Gateway{cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), bulk: newBulk(cfg.LinkBitsPerSecond), failures: newFailures(), coldOwners: placement.NewOwners()}
 }
 
 // World is what a gateway must know besides its configuration.
@@ -60,6 +62,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.view == nil {
+		defer close(g.configured)
+	}
 	g.updateRoutes(w.View)
 	byService := make(map[string][]balancing.Upstream)
 	ready := make([]registry.Entry, 0, len(w.Upstreams))
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -36,7 +36,7 @@
 
 // prepare finds the route and service and reads the body.
 func (c *call) prepare() *failure {
-	s := c.g.state.Load()
+	s := c.awaitState()
 	if s == nil {
 		return &notReady
 	}
@@ -56,6 +56,22 @@
 	return c.readBody(s.maxBody)
 }
 
+// awaitState returns the state, which a gateway that has just started gets within startWait. A client that is refused meanwhile
+// finds the other gateways in the same state if all have restarted.
+func (c *call) awaitState() *state {
+	if s := c.g.state.Load(); s != nil {
+		return s
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-c.g.configured:
+	case <-timer.C:
+	case <-c.r.Context().Done():
+	}
+	return c.g.state.Load()
+}
+
 func (c *call) setDeadline() {
 	timeout := defaultTimeout
 	if c.route.TimeoutMillis > 0 {
