edge: share only failures that are certain

Now a request is overdue after three times the mean work at an upstream that was undisturbed when it was sent and still is, and of the probes only those count whose connection could not be opened.

--- a/balancing/candidate.go
+++ b/balancing/candidate.go
@@ -14,6 +14,8 @@
 	Cold    bool
 	// Free tells that it has a free slot, as far as known.
 	Free bool
+	// Undisturbed tells that its current load shows that requests run there at their usual speed.
+	Undisturbed bool
 	// Verified tells that it was confirmed recently that the upstream is not cold, or that this gateway may send to it although
 	// it is. An upstream that is not verified must be asked first.
 	Verified bool
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -12,8 +12,8 @@
 	// workGain and paceGain are the weights of a new sample in the running means.
 	workGain = 0.05
 	paceGain = 0.02
-	// disturbedPace is the pace from which on an upstream counts as disturbed. Undisturbed ones report 1, with some spread.
-	disturbedPace = 2.0
+	// overdueFactor times the mean work is exceeded by 1 in 10,000 requests if work varies by 30 %.
+	overdueFactor = 3
 	// defaultRoundTrip is assumed to upstreams in other zones until it was measured.
 	defaultRoundTrip = 2 * time.Millisecond
 )
@@ -78,7 +78,8 @@
 		ranked = append(ranked, Candidate{
 			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
 			Age: s.age(t, now), Suspect: t.suspect(now), Free: t.occupied(now) < t.slots(),
-			Verified: cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
+			Undisturbed: t.undisturbed(now),
+			Verified:    cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		})
 	}
 	slices.SortFunc(ranked, func(a, b Candidate) int { return compare(a, b, p) })
@@ -225,12 +226,10 @@
 	return !before && t.suspect(now)
 }
 
-// Undisturbed tells whether an upstream's last reported load is current and shows that requests run there at their usual
-// speed.
+// Undisturbed tells whether an upstream's current load shows that requests run there at their usual speed.
 func (s *Service) Undisturbed(id string, now time.Time) bool {
 	t := s.targets[id]
-	return t != nil && t.load.Pace > 0 && t.load.Pace < disturbedPace && now.Sub(t.loadAt) <= paceMemory &&
-		t.load.Waiting == 0
+	return t != nil && t.undisturbed(now)
 }
 
 // Lost records that an upstream could not be reached, or gave no answer to a probe.
@@ -253,5 +252,8 @@
 	return usual
 }
 
+// OverdueAfter returns after which time an undisturbed upstream should have answered any request.
+func (s *Service) OverdueAfter() time.Duration { return overdueFactor * s.work }
+
 // Work returns the mean duration of a request on an undisturbed upstream.
 func (s *Service) Work() time.Duration { return s.work }
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -9,6 +9,8 @@
 	// FreshFor is the age up to which a load counts as current. Slow periods last about 500 ms, so a load of 25 ms is out of
 	// date in about 1 of 20 cases.
 	FreshFor = 25 * time.Millisecond
+	// disturbedPace is the pace from which on an upstream counts as disturbed. Undisturbed ones report 1, with some spread.
+	disturbedPace = 2.0
 	// paceMemory is the time constant with which a reported pace loses its weight against the service's mean.
 	paceMemory = 300 * time.Millisecond
 	// failureMemory is the time constant with which failures are forgotten.
@@ -102,6 +104,10 @@
 	return mean + (t.load.Pace-mean)*weight
 }
 
+func (t *target) undisturbed(now time.Time) bool {
+	return t.load.Pace > 0 && t.load.Pace < disturbedPace && t.load.Waiting == 0 && now.Sub(t.loadAt) <= FreshFor
+}
+
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
 // coldAllowance refills the tokens for a cold upstream.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -150,11 +150,12 @@
 	return balancing.Answered
 }
 
-// checkOverdue asks the upstream of an attempt that takes unusually long for its load. If the upstream is well and undisturbed
-// and the attempt still has no answer, that counts as a failure for all gateways: the upstream drops or holds requests.
+// checkOverdue asks the upstream of an attempt that takes unusually long for its load. If the upstream was undisturbed when it
+// was sent the request and is now, and the attempt still has no answer, that counts as a failure for all gateways: the upstream
+// drops or holds requests. A request that began in a slow period runs on after that ends, and counts for nothing.
 func (a *attempt) checkOverdue() {
 	s := a.call.service
-	if !s.canAsk() {
+	if !a.candidate.Undisturbed || !s.canAsk() {
 		return
 	}
 	s.probe(a.ctx, a.candidate)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -64,8 +64,10 @@
 		return nil, c.noStart(ctx, v)
 	}
 	running = append(running, first)
-	hedge := time.NewTimer(c.hedgeAfter())
+	hedgeAfter, overdueAfter := c.patience()
+	hedge, overdue := time.NewTimer(hedgeAfter), time.NewTimer(overdueAfter)
 	defer hedge.Stop()
+	defer overdue.Stop()
 	for len(running) > 0 {
 		select {
 		case a := <-results:
@@ -84,10 +86,11 @@
 				return a, nil
 			}
 		case <-hedge.C:
-			go first.checkOverdue()
 			if next, ok := c.hedge(ctx, results); ok {
 				running = append(running, next)
 			}
+		case <-overdue.C:
+			go first.checkOverdue()
 		case <-ctx.Done():
 			if a := c.ready(results); a != nil {
 				running = without(running, a)
@@ -198,10 +201,12 @@
 	return c.service.balancer.Work() / 2
 }
 
-func (c *call) hedgeAfter() time.Duration {
+// patience returns after which time a second upstream is asked, and after which the first one is suspected.
+func (c *call) patience() (hedgeAfter, overdueAfter time.Duration) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	return c.service.balancer.HedgeAfter(c.target() - time.Since(c.arrived))
+	b := c.service.balancer
+	return b.HedgeAfter(c.target() - time.Since(c.arrived)), b.OverdueAfter()
 }
 
 // hedge asks a second upstream because the first takes unusually long.
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -42,7 +42,9 @@
 	if err != nil {
 		if parent := context.Cause(ctx); parent != context.Canceled {
 			s.balancer.Lost(c.ID, now)
-			s.failures.note(c.ID, true, now)
+			if errors.Is(err, upstreamconn.ErrDial) {
+				s.failures.note(c.ID, true, now) // an answer that is a little late is no reason for the others
+			}
 		}
 		return
 	}
