--- a/balancing/service.go
+++ b/balancing/service.go
@@ -252,8 +252,9 @@
 	return usual
 }
 
-// OverdueAfter returns after which time an undisturbed upstream should have answered any request.
-func (s *Service) OverdueAfter() time.Duration { return overdueFactor * s.work }
+// OverdueAfter returns after which time an undisturbed upstream should have answered any request with a target. The mean work
+// may not have been learnt yet.
+func (s *Service) OverdueAfter(target time.Duration) time.Duration { return max(overdueFactor*s.work, target) }
 
 // Work returns the mean duration of a request on an undisturbed upstream.
 func (s *Service) Work() time.Duration { return s.work }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -206,7 +206,7 @@
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
 	b := c.service.balancer
-	return b.HedgeAfter(c.target() - time.Since(c.arrived)), b.OverdueAfter()
+	return b.HedgeAfter(c.target() - time.Since(c.arrived)), b.OverdueAfter(c.target())
 }
 
 // hedge asks a second upstream because the first takes unusually long.
