balancing: return to the same upstreams while they are well

Cause: an upstream that was asked has a measured round trip of a few ms, one that was not has none; so after a second each gateway preferred those that it had not asked, and went round all of them.

Estimates within a quarter of the mean work now count as equal, and then an order of the gateway's own decides.

--- a/balancing/service.go
+++ b/balancing/service.go
@@ -14,6 +14,9 @@
 	paceGain = 0.02
 	// overdueFactor times the mean work is exceeded by 1 in 10,000 requests if work varies by 30 %.
 	overdueFactor = 3
+	// estimateSteps is the number of steps of an estimate in the mean work. Estimates are not more exact than that: work varies
+	// by 30 %.
+	estimateSteps = 4
 	// defaultRoundTrip is assumed to upstreams in other zones until it was measured.
 	defaultRoundTrip = 2 * time.Millisecond
 )
@@ -64,7 +67,7 @@
 }
 
 // Rank returns the upstreams that may get a request now, the best first. Those that failed recently come last; then
-// comfortable ones in the own zone come first; then the shortest estimate decides.
+// comfortable ones in the own zone come first; then the shortest estimate decides, and between equal ones the affinity.
 func (s *Service) Rank(p Preferences, now time.Time) []Candidate {
 	ranked := make([]Candidate, 0, len(s.targets))
 	for _, t := range s.targets {
@@ -76,13 +79,14 @@
 			continue
 		}
 		ranked = append(ranked, Candidate{
-			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now), affinity: t.Affinity,
 			Age: s.age(t, now), Suspect: t.suspect(now), Free: t.occupied(now) < t.slots(),
 			Undisturbed: t.undisturbed(now),
 			Verified:    cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		})
 	}
-	slices.SortFunc(ranked, func(a, b Candidate) int { return compare(a, b, p) })
+	step := max(s.work/estimateSteps, time.Millisecond)
+	slices.SortFunc(ranked, func(a, b Candidate) int { return compare(a, b, p, step) })
 	return ranked
 }
 
@@ -93,11 +97,15 @@
 	return now.Sub(t.loadAt)
 }
 
-func compare(a, b Candidate, p Preferences) int {
+// compare orders candidates. Estimates within the same step count as equal, so that the gateway returns to the upstreams for
+// which it has the greatest affinity and open connections.
+func compare(a, b Candidate, p Preferences, step time.Duration) int {
 	return cmp.Or(
 		boolOrder(a.Suspect, b.Suspect),
 		-boolOrder(a.Zone == p.Zone && p.comfortable(a.Estimate), b.Zone == p.Zone && p.comfortable(b.Estimate)),
-		cmp.Compare(a.Estimate, b.Estimate),
+		cmp.Compare(a.Estimate/step, b.Estimate/step),
+		-boolOrder(a.Zone == p.Zone, b.Zone == p.Zone),
+		cmp.Compare(b.affinity, a.affinity),
 		cmp.Compare(a.ID, b.ID),
 	)
 }
@@ -254,7 +262,9 @@
 
 // OverdueAfter returns after which time an undisturbed upstream should have answered any request with a target. The mean work
 // may not have been learnt yet.
-func (s *Service) OverdueAfter(target time.Duration) time.Duration { return max(overdueFactor*s.work, target) }
+func (s *Service) OverdueAfter(target time.Duration) time.Duration {
+	return max(overdueFactor*s.work, target)
+}
 
 // Work returns the mean duration of a request on an undisturbed upstream.
 func (s *Service) Work() time.Duration { return s.work }
--- a/balancing/upstream.go
+++ b/balancing/upstream.go
@@ -15,4 +15,7 @@
 	ColdUntil time.Time
 	// ColdShare tells that this gateway is the one that may send to the upstream while it is cold.
 	ColdShare bool
+	// Affinity orders upstreams that are otherwise equal, the greatest first. It should differ between gateways, so that each uses
+	// others, and stay the same, so that connections are used again.
+	Affinity uint64
 }
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -79,7 +79,7 @@
 	for i, e := range ready {
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Born: e.Born, Slots: e.Slots,
-			ColdUntil: now.Add(e.WarmupLeft), ColdShare: w.InTouch && g.coldOwners.Owner(keys[i]) == w.Self,
+			Affinity: placement.Score(e.ID, w.Self), ColdUntil: now.Add(e.WarmupLeft), ColdShare: w.InTouch && g.coldOwners.Owner(keys[i]) == w.Self,
 		})
 	}
 	g.serviceOf = make(map[string]*service, len(ready))
