cluster: encode what new subscribers are told once for all of them

Cause: after all VMs lost power a replica encoded and compressed the whole state for each of 107 processes that connected.

--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -84,7 +84,7 @@
 	c.replica = &replica{id: id, node: node, machine: machine.Machine, history: machine.history}
 	c.founded = c.founded || len(bootstrap.Voters) > 0
 	for _, s := range c.subscribers {
-		c.markAll(s) // until now they were told of other replicas only
+		s.all = true // until now they were told of other replicas only
 	}
 	c.mu.Unlock()
 	c.log.Info("replica started", zap.Uint64("replica", uint64(id)), zap.Bool("fresh", fresh),
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -21,7 +21,9 @@
 // subscriber is a process that dialed this one. What it has not been told is kept by key, so that it is bounded by the
 // number of processes and upstreams however slowly the subscriber reads.
 type subscriber struct {
-	node    roster.Node // zero until it has said who it is
+	node roster.Node // zero until it has said who it is
+	// all tells that it is to be told everything; what is marked besides is part of that.
+	all     bool
 	reports map[string]roster.Report
 	entries map[string]registry.Entry
 	view    bool
@@ -30,26 +32,31 @@
 	toldFailures time.Time
 }
 
-func (s *subscriber) pending() bool { return len(s.reports) > 0 || len(s.entries) > 0 || s.view }
+func (s *subscriber) pending() bool {
+	return s.all || len(s.reports) > 0 || len(s.entries) > 0 || s.view
+}
+
+func (s *subscriber) clear() {
+	s.all, s.reports, s.entries, s.view = false, make(map[string]roster.Report), make(map[string]registry.Entry), false
+}
 
 // subscribe tells a new subscriber everything.
 func (c *Cluster) subscribe(l *nodelink.Link) {
 	s := &subscriber{failures: make(failures)}
+	s.clear()
+	s.all = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers[l] = s
-	c.markAll(s)
 }
 
-// markAll has a subscriber told everything. The caller holds mu.
-func (c *Cluster) markAll(s *subscriber) {
-	s.reports, s.entries, s.view = make(map[string]roster.Report), make(map[string]registry.Entry), true
+// everything returns an update with all that this process knows. The caller holds mu.
+func (c *Cluster) everything(viewIndex uint64) update {
+	u := update{Entries: c.registry.All(time.Now()), ViewIndex: viewIndex}
 	for _, n := range c.nodes.Known() {
-		s.reports[n.IP] = roster.Report{Node: n, Alive: c.sees(n)}
-	}
-	for _, e := range c.registry.All(time.Now()) {
-		s.entries[e.ID] = e
+		u.Reports = append(u.Reports, roster.Report{Node: n, Alive: c.sees(n)})
 	}
+	return u
 }
 
 // sees tells whether this process has a link from the node, or is it. The caller holds mu.
@@ -120,30 +127,48 @@
 			return
 		}
 		for l, u := range c.takeUpdates() {
-			if err := sendUpdate(l, u); err != nil {
+			if err := u.send(l); err != nil {
 				c.log.Error("update not encoded", zap.Error(err))
 			}
 		}
 	}
 }
 
-func sendUpdate(l *nodelink.Link, u update) error {
-	body, err := encode(u)
+// outgoing is an update on its way to one or more subscribers. It is encoded once, because after a loss of power a replica has
+// to tell all processes everything, and takes 2 ms to encode and compress that for 190 upstreams and 108 processes.
+type outgoing struct {
+	update
+	method nodelink.Method
+	body   []byte
+}
+
+func (o *outgoing) send(l *nodelink.Link) error {
+	if o.body == nil {
+		if err := o.encode(); err != nil {
+			return err
+		}
+	}
+	l.Send(o.method, o.body)
+	return nil
+}
+
+func (o *outgoing) encode() error {
+	body, err := encode(o.update)
 	if err != nil {
 		return err
 	}
-	method := methodUpdate
+	o.method = methodUpdate
 	if len(body) >= packFrom {
-		method = methodPacked
+		o.method = methodPacked
 		if body, err = compress(body); err != nil {
 			return err
 		}
 	}
-	l.Send(method, body)
+	o.body = body
 	return nil
 }
 
-func (c *Cluster) takeUpdates() map[*nodelink.Link]update {
+func (c *Cluster) takeUpdates() map[*nodelink.Link]*outgoing {
 	isReplica := c.runningReplica() != nil
 	var replicas []roster.Node
 	if !isReplica {
@@ -156,25 +181,32 @@
 	index, now := c.View().Index, time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	updates := make(map[*nodelink.Link]update)
+	updates := make(map[*nodelink.Link]*outgoing)
+	var all *outgoing // the same for all
 	for l, s := range c.subscribers {
-		u := update{Failures: s.takeFailures(now)}
-		if !s.pending() && len(u.Failures) == 0 {
+		told := s.takeFailures(now)
+		if !s.pending() && len(told) == 0 {
 			continue
 		}
-		if isReplica {
+		switch {
+		case !isReplica:
+			updates[l] = &outgoing{update: update{Replicas: replicas}}
+		case s.all:
+			if all == nil {
+				all = &outgoing{update: c.everything(index)}
+			}
+			updates[l] = all // failures that were seen before it connected are of no use to it
+		default:
+			u := update{ViewIndex: index, Failures: told}
 			for _, r := range s.reports {
 				u.Reports = append(u.Reports, r)
 			}
 			for _, e := range s.entries {
 				u.Entries = append(u.Entries, e)
 			}
-			u.ViewIndex = index
-		} else {
-			u.Replicas = replicas
+			updates[l] = &outgoing{update: u}
 		}
-		s.reports, s.entries, s.view = make(map[string]roster.Report), make(map[string]registry.Entry), false
-		updates[l] = u
+		s.clear()
 	}
 	return updates
 }
--- a/internal/cluster/subscriber_test.go
+++ b/internal/cluster/subscriber_test.go
@@ -24,6 +24,14 @@
 	return New(cfg)
 }
 
+// taken returns what a subscriber is told next.
+func taken(c *Cluster, l *nodelink.Link) update {
+	if o := c.takeUpdates()[l]; o != nil {
+		return o.update
+	}
+	return update{}
+}
+
 // Guards against processes that nobody learns of because they connected to a replica before it ran: on a slow disk a replica
 // takes longer to start than the others to connect.
 func TestReplicaTellsWhatItSawBeforeItRan(t *testing.T) {
@@ -77,7 +85,7 @@
 			c.identify(next, n)
 		})
 		both.Wait()
-		for _, r := range c.takeUpdates()[other].Reports {
+		for _, r := range taken(c, other).Reports {
 			if r.Node.IP == n.IP {
 				alive = r.Alive
 			}
@@ -108,7 +116,7 @@
 			})
 		}
 		all.Wait()
-		for _, e := range c.takeUpdates()[subscriber].Entries {
+		for _, e := range taken(c, subscriber).Entries {
 			told.Merge(e, time.Now())
 		}
 		known, _ := c.registry.Get(strconv.Itoa(round))
@@ -146,3 +154,47 @@
 	(*handler)(c).Receive(&nodelink.Link{Remote: "127.0.0.2:1000"}, methodPacked, packed)
 	is.Equal(len(c.Upstreams()), len(u.Entries))
 }
+
+// Guards against a replica that encodes the same for each process that connects: after a loss of power all of them do at once.
+func TestNewSubscribersShareOneUpdate(t *testing.T) {
+	is := is.New(t)
+	c := unconnected(Config{})
+	c.mu.Lock()
+	c.replica = &replica{}
+	c.mu.Unlock()
+	c.merge(registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", State: registry.Ready, Born: 1, Seq: 1})
+	first, second := &nodelink.Link{Remote: "127.0.0.2:1000"}, &nodelink.Link{Remote: "127.0.0.3:1000"}
+	(*handler)(c).Opened(first)
+	(*handler)(c).Opened(second)
+	updates := c.takeUpdates()
+	is.True(updates[first] == updates[second])
+	is.Equal(len(updates[first].Entries), 1)
+	is.Equal(len(c.takeUpdates()), 0) // once
+	c.merge(registry.Entry{ID: "v", Service: "s", Address: "10.0.0.2:80", State: registry.Ready, Born: 1, Seq: 1})
+	is.Equal(len(taken(c, first).Entries), 1) // the change only
+}
+
+// BenchmarkTellEverything measures what 108 processes cost a replica that connect at once.
+func BenchmarkTellEverything(b *testing.B) {
+	c := unconnected(Config{})
+	c.replica = &replica{}
+	for i := range 190 {
+		id := strconv.Itoa(i)
+		c.merge(registry.Entry{ID: id, Service: "s", Address: "10.0.0." + id + ":80", State: registry.Ready, Born: int64(i), Seq: 1})
+	}
+	for b.Loop() {
+		for i := range 108 {
+			l := &nodelink.Link{Remote: strconv.Itoa(i)}
+			c.subscribe(l)
+			c.identify(l, roster.Node{IP: strconv.Itoa(i), Name: "vm", Zone: "z", Incarnation: 1, Seq: 1})
+		}
+		for _, u := range c.takeUpdates() {
+			if u.body == nil {
+				if err := u.encode(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+		c.subscribers = make(map[*nodelink.Link]*subscriber)
+	}
+}
