edge: ask one upstream first, and wait for slow probes

Two upstreams were asked at a time although the first is well in three of four cases, and on a VM of 0.16 cores an answer often takes longer than the 15 ms after which more were asked.

Now the first is asked alone, the next round begins after three times the usual duration of a probe, and a request for which no upstream answers asks again after 25 to 200 ms.

--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -84,6 +84,7 @@
 	requests, inTarget, refused, failed int
 	// connections counts those that gateways opened, to ask or to send.
 	connections int
+	asked       int
 }
 
 func (r result) share() float64 { return float64(r.inTarget) / float64(r.requests) }
@@ -177,11 +178,12 @@
 		gateway := random.IntN(s.gateways)
 		service, now := services[gateway], epoch.Add(at)
 		ranked := service.Rank(p, now)
-		for round := 0; s.probe && round < 3 && !ranked[0].Fresh(); round++ {
+		for round := 0; s.probe && round < 5 && !ranked[0].Fresh() && !(round > 0 && slices.ContainsFunc(ranked, p.Suits)); round++ {
 			asked := 0
 			for _, c := range ranked {
-				if !c.Fresh() && asked < 2 {
+				if !c.Fresh() && asked < AskInRound(round) {
 					asked++
+					r.asked++
 					connect(gateway, c.ID, at)
 					service.ObserveProbe(c.ID, true, 0, time.Millisecond, now)
 					service.Observe(c.ID, hosts[c.ID].load(at), now)
@@ -191,13 +193,18 @@
 		}
 		r.requests++
 		chosen := ranked[0]
+		if i := slices.IndexFunc(ranked, p.Suits); s.probe && i >= 0 {
+			chosen = ranked[i]
+		}
 		if s.admit {
 			i := slices.IndexFunc(ranked, p.Admits)
 			if i < 0 {
 				r.refused++
 				continue
 			}
-			chosen = ranked[i]
+			if !p.Suits(chosen) {
+				chosen = ranked[i]
+			}
 		}
 		h := hosts[chosen.ID]
 		connect(gateway, h.id, at)
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -131,7 +131,7 @@
 // start picks an upstream and sends the request to it. With wait it waits a little for an upstream.
 func (c *call) start(ctx context.Context, results chan<- *attempt, wait bool) (*attempt, verdict) {
 	until := c.arrived.Add(time.Duration(waitShare * float64(c.target())))
-	for {
+	for step := waitStep; ; {
 		candidate, v := c.service.pick(ctx, c.preferences())
 		if v == picked {
 			c.started++
@@ -143,13 +143,14 @@
 		c.passedOver = candidate
 		now := time.Now()
 		if v == unknown {
-			until = c.deadline.Add(-c.minimumLeft()) // probes were lost, which says nothing about how busy the upstreams are
+			// Probes were lost, which says nothing about how busy the upstreams are.
+			until, step = c.deadline.Add(-c.minimumLeft()), min(2*step, waitStepMax)
 		}
-		if !wait || !now.Add(waitStep).Before(until) {
+		if !wait || !now.Add(step).Before(until) {
 			return nil, v
 		}
 		select {
-		case <-time.After(waitStep):
+		case <-time.After(step):
 		case <-ctx.Done():
 			return nil, v
 		}
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -63,6 +63,8 @@
 	waitShare = 0.12
 	// waitStep is the pause between two looks for an upstream.
 	waitStep = 25 * time.Millisecond
+	// waitStepMax bounds the pause, which doubles while no upstream answers when it is asked.
+	waitStepMax = 200 * time.Millisecond
 	// retryAfter is told to refused clients: twice the shortest time for which an upstream is left alone.
 	retryAfter = 300 * time.Millisecond
 )
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -9,15 +9,17 @@
 )
 
 const (
-	// probesPerRound is how many candidates are asked at a time. With a quarter of the upstreams slow at any time, both are
-	// slow in 1 of 16 cases.
-	probesPerRound = 2
 	// maxAsked bounds the candidates that are asked for one choice. With 40 % of the upstreams dark, none of ten answers in 1 of
 	// 10,000 cases.
 	maxAsked = 10
-	// nextRoundAfter is how long a round of probes is awaited before the next ones are asked as well. Answers take 2 to 5 ms, and
-	// probes that get none time out after 100 ms on a slow link.
+	// nextRoundAfter is how long a round of probes is awaited at least before the next ones are asked as well. Answers take 2 to
+	// 5 ms, and probes that get none time out after 100 ms on a slow link.
 	nextRoundAfter = 15 * time.Millisecond
+	// slowProbeFactor times the usual duration of a probe is awaited if that is longer: on a busy VM answers wait for the
+	// processor, and more probes would only add to that.
+	slowProbeFactor = 3
+	// probeGain is the weight of a new sample in the usual duration.
+	probeGain = 0.1
 )
 
 // verdict tells why pick chose no upstream.
@@ -35,11 +37,11 @@
 func (s *service) pick(ctx context.Context, p balancing.Preferences) (balancing.Candidate, verdict) {
 	answered := make(chan struct{}, maxAsked)
 	asked := make(map[string]bool)
-	pending, nextRound := 0, true
+	pending, round, nextRound := 0, 0, true
 	var timer <-chan time.Time
 	for {
 		ask := len(asked) < maxAsked && ctx.Err() == nil && s.canAsk()
-		best, stale, v := s.look(p, ask || pending > 0, asked)
+		best, stale, v := s.look(p, ask || pending > 0, asked, balancing.AskInRound(round))
 		if v == picked {
 			return best, v
 		}
@@ -52,10 +54,11 @@
 					answered <- struct{}{}
 				}()
 			}
-			nextRound, timer = false, time.After(nextRoundAfter)
+			nextRound, timer = false, time.After(s.roundTime())
+			round++
 		}
 		if pending == 0 {
-			best, _, v = s.look(p, false, asked)
+			best, _, v = s.look(p, false, asked, 0)
 			return best, v
 		}
 		select {
@@ -69,6 +72,13 @@
 	}
 }
 
+// roundTime returns how long a round of probes is awaited before the next one.
+func (s *service) roundTime() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(nextRoundAfter, slowProbeFactor*s.probeTime)
+}
+
 // canAsk tells whether probes say anything about the upstreams of the service.
 func (s *service) canAsk() bool {
 	s.mu.Lock()
@@ -78,7 +88,7 @@
 
 // look picks an upstream if enough is known, and otherwise returns the best one and those worth asking, of which none was asked
 // yet. Without ask it takes what is known.
-func (s *service) look(p balancing.Preferences, ask bool, asked map[string]bool) (best balancing.Candidate, stale []balancing.Candidate, v verdict) {
+func (s *service) look(p balancing.Preferences, ask bool, asked map[string]bool, atMost int) (best balancing.Candidate, stale []balancing.Candidate, v verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -97,7 +107,7 @@
 	case len(ranked) == 0:
 		return best, nil, absent
 	}
-	stale = worthAsking(ranked, best, ok, asked)
+	stale = worthAsking(ranked, best, ok, asked, atMost)
 	v = overloaded
 	if _, hope := choose(ranked, p, true); hope {
 		v = unknown
@@ -119,13 +129,13 @@
 }
 
 // worthAsking returns the candidates to ask for their load: the best one, and the next that nobody knows about.
-func worthAsking(ranked []balancing.Candidate, best balancing.Candidate, ok bool, asked map[string]bool) []balancing.Candidate {
+func worthAsking(ranked []balancing.Candidate, best balancing.Candidate, ok bool, asked map[string]bool, atMost int) []balancing.Candidate {
 	var stale []balancing.Candidate
-	if ok && !best.Fresh() && !asked[best.ID] {
+	if atMost > 0 && ok && !best.Fresh() && !asked[best.ID] {
 		stale = append(stale, best)
 	}
 	for _, c := range ranked {
-		if len(stale) >= probesPerRound {
+		if len(stale) >= atMost {
 			break
 		}
 		if !c.Fresh() && !asked[c.ID] && (!ok || c.ID != best.ID) {
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -54,6 +54,7 @@
 		return
 	}
 	s.failures.note(c.ID, false, now)
+	s.probeTime += time.Duration(probeGain * float64(now.Sub(began)-s.probeTime))
 	s.balancer.ObserveProbe(c.ID, status == http.StatusOK, p.WarmupLeft(header), now.Sub(began), now)
 	load, ok := p.Load(header)
 	if ok {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -23,6 +23,7 @@
 	healthPath string
 	maxConns   int
 	pools      map[string]*upstreamconn.Pool // by address
+	probeTime  time.Duration                 // usual duration of a probe that is answered
 	reportsNo  bool                          // upstreams of the service report no load, so asking them tells nothing
 }
 
