balancing: learn the mean work sooner and from undisturbed upstreams only

Cause: a gateway of a grown deployment gets one answer a second for a service, began at 100 ms and took 20 answers to learn; and it divided an answer's time by a pace that had decayed towards the mean of all upstreams while the request ran.

Now the first answers count alike, second tries begin after 0.6 of the target until eight answers are known, and only answers of upstreams that were undisturbed at the sending count.

--- a/balancing/service.go
+++ b/balancing/service.go
@@ -9,6 +9,10 @@
 const (
 	// initialWork is the estimate of the work of a request before any was answered.
 	initialWork = 100 * time.Millisecond
+	// learnt is the number of answers from which on the mean work is relied on for second tries, and hedgeUnlearnt the share of the
+	// target after which they begin before.
+	learnt        = 8
+	hedgeUnlearnt = 0.6
 	// workGain and paceGain are the weights of a new sample in the running means.
 	workGain = 0.05
 	paceGain = 0.02
@@ -35,7 +39,11 @@
 	targets map[string]*target
 	// work is the mean duration of a request on an undisturbed upstream, and deviation its mean absolute deviation.
 	work, deviation time.Duration
-	meanPace        float64
+	// answers counts those that work was learnt from, up to learnt.
+	answers  int
+	meanPace float64
+	// reports tells that upstreams report their pace.
+	reports bool
 }
 
 // New returns a service without upstreams.
@@ -156,8 +164,8 @@
 	}
 }
 
-// End records how a request ended after took.
-func (s *Service) End(id string, outcome Outcome, took time.Duration, now time.Time) {
+// End records how a request ended.
+func (s *Service) End(id string, outcome Outcome, now time.Time) {
 	t := s.targets[id]
 	if t == nil {
 		return
@@ -167,7 +175,6 @@
 	case Answered:
 		t.noteSuccess(now)
 		t.awayFor = 0
-		s.learn(t, took, now)
 	case Failed:
 		t.noteFailure(now)
 	case Shed:
@@ -179,16 +186,27 @@
 	}
 }
 
-// learn updates the mean work from an answer, corrected by the pace at which the upstream ran.
-func (s *Service) learn(t *target, took time.Duration, now time.Time) {
-	sample := float64(took) / max(1, t.pace(now, s.meanPace))
-	sample = min(sample, 4*float64(s.work)) // one answer must not change everything
+// Learn updates the mean work from an answer that took so long. Where upstreams report their load, only those count that were
+// undisturbed when the request was sent: a load that is as old as the answer says little about the pace at which it was made.
+func (s *Service) Learn(c Candidate, took time.Duration) {
+	if s.reports && !c.Undisturbed {
+		return
+	}
+	sample := float64(took)
+	if s.answers < learnt {
+		s.answers++
+	}
+	// The first answers count alike, because a gateway of a large deployment gets few, and hedges too early until it knows better.
+	gain := max(workGain, 1/float64(s.answers))
+	if s.answers > 1 {
+		sample = min(sample, 4*float64(s.work)) // one answer must not change everything
+	}
 	difference := sample - float64(s.work)
-	s.work += time.Duration(workGain * difference)
+	s.work += time.Duration(gain * difference)
 	if difference < 0 {
 		difference = -difference
 	}
-	s.deviation += time.Duration(workGain * (difference - float64(s.deviation)))
+	s.deviation += time.Duration(gain * (difference - float64(s.deviation)))
 }
 
 // Observe takes over the load that an upstream reported.
@@ -199,6 +217,7 @@
 	}
 	t.load, t.loadAt, t.sentSince = l, now, 0
 	if l.Pace > 0 {
+		s.reports = true
 		s.meanPace += paceGain * (l.Pace - s.meanPace)
 	}
 }
@@ -253,6 +272,9 @@
 // HedgeAfter returns how long an answer may be awaited before a second upstream is asked: longer than nearly all answers of
 // undisturbed upstreams, and early enough for the second answer to be in time for target.
 func (s *Service) HedgeAfter(target time.Duration) time.Duration {
+	if s.answers < learnt && target > 0 {
+		return time.Duration(hedgeUnlearnt * float64(target))
+	}
 	usual := s.work + 3*s.deviation
 	if latest := target - s.work - s.deviation; target > 0 && latest > s.work+s.deviation {
 		return min(usual, latest)
--- a/balancing/service_test.go
+++ b/balancing/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -49,7 +50,7 @@
 				for _, c := range s.Rank(Preferences{Zone: "z"}, now) {
 					is.True(c.Verified)
 					s.Begin(c.ID, now)
-					s.End(c.ID, Answered, 0, now)
+					s.End(c.ID, Answered, now)
 					sent = append(sent, now)
 				}
 			}
@@ -90,9 +91,9 @@
 	}{
 		{"slow one", func(s *Service) { s.Observe("u0", Load{Slots: 3, Pace: 7}, start) }, near, "u1"},
 		{"full one", func(s *Service) { s.Observe("u0", Load{Running: 3, Slots: 3, Pace: 1}, start) }, near, "u1"},
-		{"one that failed", func(s *Service) { s.Begin("u0", start); s.End("u0", Failed, 0, start) }, near, "u1"},
+		{"one that failed", func(s *Service) { s.Begin("u0", start); s.End("u0", Failed, start) }, near, "u1"},
 		{"one that is gone", func(s *Service) { s.Lost("u0", start) }, near, "u1"},
-		{"one whose address another one has", func(s *Service) { s.End("u0", Moved, 0, start) }, near, "u1"},
+		{"one whose address another one has", func(s *Service) { s.End("u0", Moved, start) }, near, "u1"},
 		{"one that had the request", func(*Service) {}, Preferences{Zone: "z", Target: time.Second, Exclude: []string{"u0"}}, "u1"},
 		{"far one only if the near ones are slow", func(s *Service) {
 			for _, id := range []string{"u0", "u1"} {
@@ -147,7 +148,7 @@
 	is := is.New(t)
 	s := New()
 	s.SetUpstreams(upstreams(1, nil), start)
-	s.End("u0", Failed, 0, start)
+	s.End("u0", Failed, start)
 	is.True(s.Rank(Preferences{}, start)[0].Suspect)
 	is.True(!s.Rank(Preferences{}, start.Add(3*failureMemory))[0].Suspect)
 	s.Lost("u0", start)
@@ -160,8 +161,50 @@
 	is := is.New(t)
 	s := New()
 	s.SetUpstreams(upstreams(1, nil), start)
-	s.End("u0", Moved, 0, start)
+	s.End("u0", Moved, start)
 	is.Equal(len(s.Rank(Preferences{}, start)), 0)
 	s.SetUpstreams(upstreams(1, func(u *Upstream) { u.Born = 2 }), start)
 	is.Equal(len(s.Rank(Preferences{}, start)), 1)
 }
+
+// Guards against second tries that begin before most answers come, because the mean work is not known yet: a gateway of a large
+// deployment gets one answer a second, and work takes two to three times what is assumed at first.
+func TestWorkIsLearntFromTheFirstAnswers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := New()
+	s.SetUpstreams([]Upstream{{ID: "a", Slots: 3}}, now)
+	random := rand.New(rand.NewPCG(1, 2))
+	const work, target = 260 * time.Millisecond, 600 * time.Millisecond
+	is.True(s.HedgeAfter(target) > work)
+	for range 12 {
+		took := time.Duration((0.8 + 0.4*random.Float64()) * float64(work))
+		s.Learn(Candidate{ID: "a"}, took)
+		is.True(s.HedgeAfter(target) > work)
+	}
+	is.True(s.Work() > work*9/10 && s.Work() < work*11/10)
+}
+
+// Guards against a mean work that is too small, so that second tries begin too early: an answer must not be taken for one from a
+// slow period because the load is as old as the answer.
+func TestWorkIsLearntFromUndisturbedUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := New()
+	s.SetUpstreams([]Upstream{{ID: "a", Slots: 3}, {ID: "b", Slots: 3}}, now)
+	for range 200 { // the mean pace over both is 4
+		s.Observe("a", Load{Slots: 3, Pace: 1}, now)
+		s.Observe("b", Load{Slots: 3, Pace: 7}, now)
+	}
+	const work = 260 * time.Millisecond
+	for range 20 {
+		for _, c := range s.Rank(Preferences{Zone: "z"}, now) {
+			took := work
+			if c.ID == "b" {
+				took = 7 * work
+			}
+			s.Learn(c, took)
+		}
+	}
+	is.Equal(s.Work().Round(time.Millisecond), work)
+}
--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -41,7 +41,9 @@
 	work    time.Duration
 	gateway int
 	host    *host
-	ends    time.Duration
+	// candidate is what the gateway knew when it sent the job.
+	candidate Candidate
+	ends      time.Duration
 }
 
 type jobs []*job
@@ -131,7 +133,10 @@
 					s.report(reports, j)
 				}
 			}
-			services[j.gateway].End(j.host.id, outcome, took, now)
+			services[j.gateway].End(j.host.id, outcome, now)
+			if outcome == Answered {
+				services[j.gateway].Learn(j.candidate, took)
+			}
 			j.host.running--
 			if len(j.host.queue) > 0 {
 				next := j.host.queue[0]
@@ -209,7 +214,7 @@
 		h := hosts[chosen.ID]
 		connect(gateway, h.id, at)
 		service.Begin(h.id, now)
-		j := &job{arrived: at, gateway: gateway, host: h, work: time.Duration((0.7 + 0.6*random.Float64()) * float64(90*time.Millisecond))}
+		j := &job{candidate: chosen, arrived: at, gateway: gateway, host: h, work: time.Duration((0.7 + 0.6*random.Float64()) * float64(90*time.Millisecond))}
 		if h.running < h.slots {
 			h.running++
 			j.ends = at + time.Duration(float64(j.work)*h.pace(at))
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -50,7 +50,10 @@
 	now := time.Now()
 	outcome := a.outcome()
 	a.call.service.mu.Lock()
-	a.call.service.balancer.End(a.candidate.ID, outcome, now.Sub(a.began), now)
+	a.call.service.balancer.End(a.candidate.ID, outcome, now)
+	if outcome == balancing.Answered {
+		a.call.service.balancer.Learn(a.candidate, now.Sub(a.began))
+	}
 	if a.resp != nil {
 		if load, ok := a.call.g.cfg.Protocol.Load(a.resp.Header); ok {
 			a.call.service.balancer.Observe(a.candidate.ID, load, now)
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -50,7 +50,7 @@
 	}
 	p := &s.cfg.Protocol
 	if id := header.Get(p.UpstreamHeader); id != "" && id != c.ID {
-		s.balancer.End(c.ID, balancing.Moved, 0, now)
+		s.balancer.End(c.ID, balancing.Moved, now)
 		return
 	}
 	s.failures.note(c.ID, false, now)
