edge: while no upstream answers, hold a request for half of its target only

Cause: since a gateway that is cut off from its upstreams held a request until shortly before its deadline, so that its client had no time to ask another gateway. Test: TestCutOffGatewayRefusesInTime (held for 5 s before).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -143,8 +143,9 @@
 		c.passedOver = candidate
 		now := time.Now()
 		if v == unknown {
-			// Probes were lost, which says nothing about how busy the upstreams are.
-			until, step = c.deadline.Add(-c.minimumLeft()), min(2*step, waitStepMax)
+			// Probes were lost, which says nothing about how busy the upstreams are. But if this gateway is the one that is cut
+			// off, the client must have the time to ask another.
+			until, step = c.arrived.Add(time.Duration(unknownWaitShare*float64(c.target()))), min(2*step, waitStepMax)
 		}
 		if !wait || !now.Add(step).Before(until) {
 			return nil, v
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -61,6 +61,8 @@
 	startWait = 250 * time.Millisecond
 	// waitShare is the share of the latency objective for which a request waits for an upstream before it is refused.
 	waitShare = 0.12
+	// unknownWaitShare is the same while no upstream answers when it is asked.
+	unknownWaitShare = 0.5
 	// waitStep is the pause between two looks for an upstream.
 	waitStep = 25 * time.Millisecond
 	// waitStepMax bounds the pause, which doubles while no upstream answers when it is asked.
--- a/internal/edge/pick_test.go
+++ b/internal/edge/pick_test.go
@@ -51,3 +51,20 @@
 		})
 	}
 }
+
+// Guards against a gateway without a way to its upstreams that holds requests until their deadline: their clients could ask
+// another gateway.
+func TestCutOffGatewayRefusesInTime(t *testing.T) {
+	is := is.New(t)
+	var entries []registry.Entry
+	for i := range 14 {
+		entries = append(entries, mute(t, fmt.Sprintf("a%02d", i)))
+	}
+	g := newGateway(t, world(entries...))
+	began := time.Now()
+	w := send(t, g, "/once/1", nil)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(w.Header().Get("Retry-After") != "")
+	const target = 2 * time.Second // of the route; its timeout is 5 s
+	is.True(time.Since(began) <= target)
+}
