Add a fault soak that runs real processes

It checks from what callers and upstreams saw that no request with a key ran twice, was answered without running, or ran although it was refused, and that sessions, the newest acknowledged configuration, service and graceful stops are there afterwards. It covers bramleypick run; bramleypick entry is not covered yet.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,6 +32,7 @@
 		&cli.StringFlag{Name: "service", Required: true, Usage: "service to announce"},
 		&cli.StringFlag{Name: "zone", Required: true, Usage: "availability zone to announce"},
 		&cli.StringFlag{Name: "listen", Required: true, Usage: "IP:port of the first upstream; the others follow"},
+		&cli.StringFlag{Name: "announce", Usage: "IP:port to announce for the first upstream; the others follow (default: listen)"},
 		&cli.StringFlag{Name: "admin", Required: true, Usage: "IP:port of the control endpoint"},
 		&cli.StringSliceFlag{Name: "entry", Usage: "caller address of an entry VM; may be repeated"},
 		&cli.StringFlag{Name: "id-prefix", Usage: "start of the upstream ids (default: service and zone)"},
@@ -65,6 +66,12 @@
 	if err != nil {
 		return errors.Wrap(err, "flag listen")
 	}
+	var announced netip.AddrPort
+	if text := cmd.String("announce"); text != "" {
+		if announced, err = netip.ParseAddrPort(text); err != nil {
+			return errors.Wrap(err, "flag announce")
+		}
+	}
 	prefix := cmd.String("id-prefix")
 	if prefix == "" {
 		prefix = cmd.String("service") + "-" + cmd.String("zone")
@@ -72,8 +79,12 @@
 	ledger := standin.NewLedger()
 	var upstreams []*standin.Upstream
 	for i := range cmd.Int("count") {
+		address := ""
+		if announced.IsValid() {
+			address = netip.AddrPortFrom(announced.Addr(), announced.Port()+uint16(i)).String()
+		}
 		u := standin.New(standin.Config{
-			ID: prefix + "-" + strconv.Itoa(i+1), Service: cmd.String("service"), Zone: cmd.String("zone"),
+			Announced: address, ID: prefix + "-" + strconv.Itoa(i+1), Service: cmd.String("service"), Zone: cmd.String("zone"),
 			Address: netip.AddrPortFrom(first.Addr(), first.Port()+uint16(i)).String(), Slots: cmd.Int("slots"),
 			MaxConnections: cmd.Int("max-connections"), Entries: cmd.StringSlice("entry"), Behaviour: behaviour,
 			Seed: cmd.Uint64("seed") + uint64(i),
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -43,6 +43,9 @@
 	operator *opclient.Client
 	token    string
 	nextPort int
+	// proxied puts a proxy before each upstream that is started.
+	proxied bool
+	proxies []*faultProxy
 }
 
 // newCluster writes the files of a deployment, starts the VMs and waits until all have a session.
@@ -101,6 +104,9 @@
 
 // close ends every process. Errors are not of interest: an experiment that needs a graceful stop checks it itself.
 func (c *Cluster) close() {
+	for _, p := range c.proxies {
+		p.close()
+	}
 	for _, s := range c.standins {
 		s.process.Kill()
 	}
--- /dev/null
+++ b/internal/experiment/soak.go
@@ -0,0 +1,188 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/dynconfig"
+	"github.com/bramleypick/bramleypick/internal/api"
+	"github.com/bramleypick/bramleypick/internal/controlproto"
+	"github.com/bramleypick/bramleypick/internal/loadgen"
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
+	"github.com/bramleypick/bramleypick/internal/verify"
+)
+
+const (
+	soakVMs = 5
+	// soakRate is the requests per second: enough that each fault hits some, and few enough for a machine that does other work.
+	soakRate = 60
+	// soakCalm is the time at the end of the load without new faults.
+	soakCalm = 2 * time.Second
+)
+
+// SoakRun is what one seed of the soak found.
+type SoakRun struct {
+	Seed    uint64
+	Faults  []string
+	Verdict verify.Verdict
+	// Broken names the promises that did not hold.
+	Broken []string
+}
+
+// soak is a run in progress.
+type soak struct {
+	cluster *Cluster
+	random  *rand.Rand
+
+	mu       sync.Mutex
+	run      SoakRun
+	accepted uint64 // highest acknowledged configuration version
+	// signals orders the faults of one VM, so that each finds the process in a known state. Those of different VMs overlap.
+	signals [soakVMs]sync.Mutex
+}
+
+// Soak runs real processes on this machine under a load and injects faults that follow from the seed: processes that are killed,
+// frozen, or stopped and restarted, and connections to upstreams that are delayed, reset, silenced or cut one way, while the
+// configuration changes. It checks from what callers and upstreams saw that no request with a key ran twice, was answered without
+// running, or ran although it was refused; and that afterwards each process has a session, the newest acknowledged
+// configuration is in force, requests are answered, and each process stops gracefully.
+func Soak(ctx context.Context, programs Programs, dir string, basePort int, seed uint64, length time.Duration) (SoakRun, error) {
+	c, err := newCluster(ctx, programs, localdeploy.Plan{Dir: dir, Zones: trialZones, VMs: soakVMs, ControlReplicas: 3, BasePort: basePort})
+	if err != nil {
+		return SoakRun{Seed: seed}, err
+	}
+	defer c.close()
+	c.proxied = true
+	s := &soak{cluster: c, random: rand.New(rand.NewPCG(seed, 0)), run: SoakRun{Seed: seed}}
+	err = s.play(ctx, length)
+	return s.run, err
+}
+
+func (s *soak) play(ctx context.Context, length time.Duration) error {
+	c := s.cluster
+	version, err := c.apply(ctx, zoneConfig())
+	if err != nil {
+		return err
+	}
+	s.accepted = version
+	if err := c.startUpstreams(zoneUpstreams()); err != nil {
+		return err
+	}
+	if err := c.waitOwned(ctx, zoneSizes().Upstreams); err != nil {
+		return err
+	}
+	var faults sync.WaitGroup
+	for _, f := range s.plan(length - soakCalm) {
+		s.run.Faults = append(s.run.Faults, f.String())
+		faults.Go(func() {
+			select {
+			case <-time.After(f.at):
+				s.inject(ctx, f)
+			case <-ctx.Done():
+			}
+		})
+	}
+	result, err := loadgen.Run(ctx, s.load(length, s.run.Seed))
+	faults.Wait()
+	if err != nil {
+		return err
+	}
+	executions, err := c.executions(ctx)
+	if err != nil {
+		return err
+	}
+	s.run.Verdict = verify.Compare(result, executions)
+	if !s.run.Verdict.OK() {
+		s.broken("requests: %+v", s.run.Verdict)
+	}
+	s.checkRecovery(ctx)
+	return nil
+}
+
+func (s *soak) load(length time.Duration, seed uint64) loadgen.Config {
+	load := s.cluster.zoneLoad(length, seed)
+	load.Rate = soakRate
+	load.Classes = load.Classes[:2] // downloads take longer than the calm at the end
+	return load
+}
+
+func (s *soak) broken(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.run.Broken = append(s.run.Broken, fmt.Sprintf(format, args...))
+}
+
+// checkRecovery checks what must hold once all faults have ended.
+func (s *soak) checkRecovery(ctx context.Context) {
+	c := s.cluster
+	err := c.waitForStatus(ctx, "all VMs have a session and the newest configuration", func(r controlproto.Report) bool {
+		live := 0
+		for _, g := range newestSessions(r.Gateways) {
+			if !g.Leaving {
+				live++
+			}
+		}
+		return live >= soakVMs && r.ConfigVersion >= s.accepted && r.InForce >= s.accepted
+	})
+	if err != nil {
+		s.broken("%v (acknowledged version %d)", err, s.accepted)
+	}
+	if err := s.waitServed(ctx); err != nil {
+		s.broken("%v", err)
+	}
+	var stops sync.WaitGroup
+	for _, vm := range c.vms {
+		stops.Go(func() {
+			if err := vm.Stop(stopTimeout); err != nil {
+				s.broken("%v", err)
+			}
+		})
+	}
+	stops.Wait()
+}
+
+// waitServed waits for a second in which every request is answered.
+func (s *soak) waitServed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for seed := s.run.Seed + 1; ctx.Err() == nil; seed++ {
+		result, err := loadgen.Run(ctx, s.load(time.Second, seed))
+		if err != nil {
+			return err
+		}
+		all := true
+		for _, class := range result.Classes {
+			for outcome, n := range class.Outcomes {
+				all = all && (outcome == loadgen.OutcomeOK || n == 0)
+			}
+		}
+		if all {
+			return nil
+		}
+	}
+	return errors.New("requests are not all answered again after the faults")
+}
+
+// change puts a configuration in force as an operator does who resends until the outcome is known.
+func (s *soak) change(ctx context.Context, limit int) {
+	config := zoneConfig()
+	config.Services[0].QueueLimit = limit
+	data, err := dynconfig.Canonical(config)
+	if err != nil {
+		s.broken("%v", err)
+		return
+	}
+	result, err := s.cluster.applyUntilAnswered(ctx, api.ConfigChange{ChangeID: fmt.Sprint("soak-", limit), Config: data})
+	if err != nil {
+		s.broken("change %d: %v", limit, err)
+		return
+	}
+	s.mu.Lock()
+	s.accepted = max(s.accepted, result.ConfigVersion)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/experiment/soak_faults.go
@@ -0,0 +1,118 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// faultKind is a kind of fault that the soak injects.
+type faultKind string
+
+const (
+	faultKill      faultKind = "kill"      // SIGKILL, started again after the length
+	faultFreeze    faultKind = "freeze"    // SIGSTOP, SIGCONT after the length
+	faultTerminate faultKind = "terminate" // SIGTERM, started again once it has ended
+	faultProxies   faultKind = "proxies"   // connections to some upstreams are harmed for the length
+	faultChange    faultKind = "change"    // a configuration change
+)
+
+var faultKinds = []faultKind{faultKill, faultFreeze, faultTerminate, faultProxies, faultProxies, faultChange}
+
+const (
+	// soakFaultsPerSecond is how many faults begin in a second. With a length of up to soakLongest two to three overlap.
+	soakFaultsPerSecond = 1.0
+	soakShortest        = 100 * time.Millisecond
+	soakLongest         = 4 * time.Second
+)
+
+// fault is one planned fault.
+type fault struct {
+	kind   faultKind
+	at     time.Duration
+	length time.Duration
+	vm     int          // of kill, freeze and terminate
+	mode   proxyMode    // of proxies
+	which  map[int]bool // of proxies
+	number int          // of change
+}
+
+// String describes the fault for a report.
+func (f fault) String() string {
+	at := fmt.Sprintf("%.2f s %s", f.at.Seconds(), f.kind)
+	switch f.kind {
+	case faultProxies:
+		return fmt.Sprintf("%s: mode %d at %d upstreams for %.2f s", at, f.mode, len(f.which), f.length.Seconds())
+	case faultChange:
+		return at
+	}
+	return fmt.Sprintf("%s: VM %d for %.2f s", at, f.vm, f.length.Seconds())
+}
+
+// plan draws the faults of a run, in the order of their beginnings.
+func (s *soak) plan(length time.Duration) []fault {
+	var faults []fault
+	for i := range int(length.Seconds() * soakFaultsPerSecond) {
+		f := fault{
+			kind:   faultKinds[s.random.IntN(len(faultKinds))],
+			at:     time.Duration(s.random.Float64() * float64(length)),
+			length: soakShortest + time.Duration(s.random.Float64()*float64(soakLongest-soakShortest)),
+			vm:     s.random.IntN(soakVMs),
+			mode:   1 + proxyMode(s.random.IntN(int(proxyModes)-1)),
+			which:  make(map[int]bool), number: i + 1,
+		}
+		share := s.random.Float64()
+		for p := range s.cluster.proxies {
+			if s.random.Float64() < share {
+				f.which[p] = true
+			}
+		}
+		faults = append(faults, f)
+	}
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return faults
+}
+
+// inject performs a fault and ends it.
+func (s *soak) inject(ctx context.Context, f fault) {
+	switch f.kind {
+	case faultProxies:
+		s.setProxies(f, f.mode)
+		time.Sleep(f.length)
+		s.setProxies(f, proxyPass)
+		return
+	case faultChange:
+		s.change(ctx, 1000+f.number)
+		return
+	}
+	s.signals[f.vm].Lock()
+	defer s.signals[f.vm].Unlock()
+	vm := s.cluster.vms[f.vm]
+	var err error
+	switch f.kind {
+	case faultKill:
+		vm.Kill()
+		time.Sleep(f.length)
+		err = vm.Restart()
+	case faultFreeze:
+		vm.Signal(syscall.SIGSTOP)
+		time.Sleep(f.length)
+		vm.Signal(syscall.SIGCONT)
+	case faultTerminate:
+		if err = vm.Stop(stopTimeout); err == nil {
+			err = vm.Restart()
+		}
+	}
+	if err != nil {
+		s.broken("%s: %v", f, err)
+	}
+}
+
+func (s *soak) setProxies(f fault, mode proxyMode) {
+	for i := range f.which {
+		s.cluster.proxies[i].setMode(mode)
+	}
+}
--- /dev/null
+++ b/internal/experiment/soak_test.go
@@ -0,0 +1,87 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echoServer returns the address of a server that returns what it gets.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn) // ends with the connection
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a soak whose proxies harm nothing, or harm connections for ever.
+func TestFaultProxy(t *testing.T) {
+	const patience = 3 * proxyDelayTime
+	for _, test := range []struct {
+		mode    proxyMode
+		arrives bool
+		atLeast time.Duration
+	}{
+		{proxyPass, true, 0},
+		{proxyDelay, true, 2 * proxyDelayTime},
+		{proxyLoseUp, false, 0},
+		{proxyLoseDown, false, 0},
+		{proxySilence, false, 0},
+		{proxyReset, false, 0},
+	} {
+		t.Run(fmt.Sprint(test.mode), func(t *testing.T) {
+			is := is.New(t)
+			p, err := newFaultProxy("127.0.0.1:0", echoServer(t))
+			is.NoErr(err)
+			defer p.close()
+			exchange := func() error {
+				conn, err := net.Dial("tcp", p.listener.Addr().String())
+				if err != nil {
+					return err // the reset came before the dial returned
+				}
+				defer conn.Close()
+				is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+				if _, err := conn.Write([]byte("x")); err != nil {
+					return err
+				}
+				_, err = conn.Read(make([]byte, 1))
+				return err
+			}
+			p.setMode(test.mode)
+			began := time.Now()
+			is.Equal(exchange() == nil, test.arrives)
+			is.True(time.Since(began) >= test.atLeast)
+			p.setMode(proxyPass)
+			is.NoErr(exchange())
+		})
+	}
+}
+
+// Guards against a seed that plays other faults the next time, so that what it found cannot be traced.
+func TestSoakPlanFollowsFromTheSeed(t *testing.T) {
+	is := is.New(t)
+	plan := func(seed uint64) string {
+		s := &soak{cluster: &Cluster{proxies: make([]*faultProxy, 36)}, random: rand.New(rand.NewPCG(seed, 0))}
+		return fmt.Sprint(s.plan(20 * time.Second))
+	}
+	is.Equal(plan(1), plan(1))
+	is.True(plan(1) != plan(2))
+}
--- a/internal/experiment/standins.go
+++ b/internal/experiment/standins.go
@@ -34,7 +34,7 @@
 	admin   string
 }
 
-func (c *Cluster) startUpstreams(groups []upstreamGroup) error {
+func (c *Cluster) startUpstreams(groups []upstreamGroup) (err error) {
 	for _, g := range groups {
 		listen := fmt.Sprintf("127.0.0.1:%d", c.nextPort)
 		admin := fmt.Sprintf("127.0.0.1:%d", c.nextPort+g.count)
@@ -47,6 +47,11 @@
 			// Each process starts with another entry VM, so that announcements spread.
 			args = append(args, "--entry", c.addresses(callerOffset)[(i+len(c.standins))%len(c.vms)])
 		}
+		if c.proxied {
+			if args, err = c.addProxies(args, listen, g.count); err != nil {
+				return err
+			}
+		}
 		name := "standin-" + g.service + "-" + g.zone
 		p, err := localdeploy.StartProcess(name, filepath.Join(c.plan.Dir, name+".log"), append(args, g.flags...)...)
 		if err != nil {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -124,8 +124,12 @@
 
 func (a *announcer) put(ctx context.Context, entry string) error {
 	cfg, health := a.upstream.cfg, a.upstream.health()
+	address := a.upstream.Address()
+	if cfg.Announced != "" {
+		address = cfg.Announced
+	}
 	body, err := json.Marshal(Announcement{
-		Service: cfg.Service, Address: a.upstream.Address(), Zone: cfg.Zone, Slots: cfg.Slots, BootID: health.BootID,
+		Service: cfg.Service, Address: address, Zone: cfg.Zone, Slots: cfg.Slots, BootID: health.BootID,
 		Inflight: health.Inflight, MaxConnections: cfg.MaxConnections,
 	})
 	if err != nil {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -19,7 +19,9 @@
 	ID, Service, Zone string
 	// Address is the IP:port that the upstream listens on and announces. Port 0 picks one at the first start.
 	Address string
-	Slots   int
+	// Announced is the IP:port that the upstream announces instead, where a proxy stands before it. Empty means Address.
+	Announced string
+	Slots     int
 	// MaxConnections is announced; the upstream does not enforce it. Zero means 300.
 	MaxConnections int
 	// Entries are the caller addresses of entry VMs that the upstream announces itself to. Empty means that it does not.
