--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -14,8 +14,8 @@
 // publishInterval bounds how often a subscriber is told; changes in between are sent together.
 const publishInterval = 20 * time.Millisecond
 
-// packFrom is the length in bytes from which an update is compressed. 190 upstreams and 108 processes take 23 KB, and a process that starts on a
-// link of 6 Mbit/s gets them from each of six replicas: 0.2 s in which it serves nobody.
+// packFrom is the length in bytes from which an update is compressed. 190 upstreams and 108 processes take 23 KB, and a process
+// that starts on a link of 6 Mbit/s gets them from each of six replicas: 0.2 s in which it serves nobody.
 const packFrom = 2 << 10
 
 // subscriber is a process that dialed this one. What it has not been told is kept by key, so that it is bounded by the
