soak: a process that was just started may be ended by SIGTERM itself

Traced: in each the SIGTERM came right after the process had been started, and its log lacks the "serving" line of that start; the program had not yet installed its handler and had taken no request. The check now allows this within 300 ms of the start only, and the process is started again.

--- a/internal/experiment/soak_faults.go
+++ b/internal/experiment/soak_faults.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/bramleypick/bramleypick/internal/localdeploy"
 )
 
 // faultKind is a kind of fault that the soak injects.
@@ -27,6 +29,10 @@
 	soakFaultsPerSecond = 1.0
 	soakShortest        = 100 * time.Millisecond
 	soakLongest         = 4 * time.Second
+	// soakBoot is how long a process may take until it handles signals, on a machine that does other work.
+	soakBoot = 300 * time.Millisecond
+	// endedBySignal is the exit code of a process that a signal ended.
+	endedBySignal = -1
 )
 
 // fault is one planned fault.
@@ -102,15 +108,23 @@
 		time.Sleep(f.length)
 		vm.Signal(syscall.SIGCONT)
 	case faultTerminate:
-		if err = vm.Stop(stopTimeout); err == nil {
-			err = vm.Restart()
-		}
+		err = s.terminate(vm)
 	}
 	if err != nil {
 		s.broken("%s: %v", f, err)
 	}
 }
 
+// terminate stops a process and starts it again. One that has just been started may be ended by the signal itself, before it
+// handles signals; it has taken no request then.
+func (s *soak) terminate(vm *localdeploy.Process) error {
+	age := vm.Age()
+	if err := vm.Stop(stopTimeout); err != nil && (age > soakBoot || vm.ExitCode() != endedBySignal) {
+		return err
+	}
+	return vm.Restart()
+}
+
 func (s *soak) setProxies(f fault, mode proxyMode) {
 	for i := range f.which {
 		s.cluster.proxies[i].setMode(mode)
--- a/internal/localdeploy/process.go
+++ b/internal/localdeploy/process.go
@@ -16,6 +16,8 @@
 	log  string
 	cmd  *exec.Cmd
 	done chan struct{}
+	// started is when the program was run last.
+	started time.Time
 }
 
 // StartProcess runs a program, whose output is appended to a log file.
@@ -41,7 +43,7 @@
 		_ = cmd.Wait() // ExitCode holds the result.
 		close(done)
 	}()
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.started = cmd, done, time.Now()
 	return nil
 }
 
@@ -84,6 +86,9 @@
 // ExitCode returns the exit status of a process that has ended, and -1 if a signal ended it.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
+// Age returns how long ago the program was run last.
+func (p *Process) Age() time.Duration { return time.Since(p.started) }
+
 // LogTail returns the last n bytes of the log.
 func (p *Process) LogTail(n int) string {
 	data, _ := os.ReadFile(p.log) // An unreadable log has no tail.
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -20,6 +20,7 @@
 	cause string
 }{
 	{1, "none: kills, freezes and harmed connections that overlap"},
+	{33, "the soak itself: SIGTERM ended a process that had just been started, before it handled signals, which it took for a fault"},
 }
 
 // Guards against broken promises under faults that overlap: see experiment.Soak.
