edge: trace and replace TestReportedUpstreamIsUsedLast

Cause: a probe that takes longer than its 12 ms leaves its upstream alone for 250 ms. With two upstreams, the reported one is then the only one, and all four requests go there, as they should.

--- a/internal/edge/failures_test.go
+++ b/internal/edge/failures_test.go
@@ -12,6 +12,9 @@
 	"github.com/bramleypick/bramleypick/placement"
 )
 
+// queuedLink makes probes wait for half a second, in bits per second.
+const queuedLink = 1e6
+
 // Guards against failures that the other gateways never learn of, and against two reports of the same one.
 func TestFailuresAreReportedOnce(t *testing.T) {
 	is := is.New(t)
@@ -53,7 +56,8 @@
 func TestReportedUpstreamIsUsedLast(t *testing.T) {
 	is := is.New(t)
 	a, b := newUpstream(t, "a", fine), newUpstream(t, "b", fine)
-	g := newGateway(t, world(a.entry(), b.entry()))
+	// A probe that a busy machine delays over its time would leave the reported upstream as the only one.
+	g := newGatewayOnLink(t, world(a.entry(), b.entry()), queuedLink)
 	g.ObserveFailures(map[string]int{"a": 2, "unknown": 1}, time.Now())
 	for range 4 {
 		is.Equal(send(t, g, "/once/1", nil).Code, 200)
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -155,10 +155,13 @@
 	}
 }
 
-func newGateway(t *testing.T, w World) *Gateway {
+func newGateway(t *testing.T, w World) *Gateway { return newGatewayOnLink(t, w, 0) }
+
+// newGatewayOnLink returns a gateway that waits for probes as long as the queue of a link of that speed may take.
+func newGatewayOnLink(t *testing.T, w World, bitsPerSecond float64) *Gateway {
 	g := New(Config{
 		Zone: "z", Protocol: testProtocol(), RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
-		ColdFactor: 1.5, ColdSlack: 5, Log: zap.NewNop(),
+		ColdFactor: 1.5, ColdSlack: 5, LinkBitsPerSecond: bitsPerSecond, Log: zap.NewNop(),
 	})
 	g.Update(w, time.Now())
 	return g
