balancing: sort keys of candidates instead of candidates

Cause: each look at a service sorted candidates of 110 bytes with a comparison of six terms. Ranking 70 upstreams took 60 to 83 us and 6 KB, three times a request.

Decays that have run out need no exponential.

--- a/balancing/candidate.go
+++ b/balancing/candidate.go
@@ -19,7 +19,6 @@
 	// Verified tells that it was confirmed recently that the upstream is not cold, or that this gateway may send to it although
 	// it is. An upstream that is not verified must be asked first.
 	Verified bool
-	affinity uint64
 }
 
 // Fresh tells whether the load is recent enough to send without asking first.
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -44,6 +44,10 @@
 	meanPace float64
 	// reports tells that upstreams report their pace.
 	reports bool
+
+	// Memory of Rank: the candidates as found, their order, and the result.
+	found, ranked []Candidate
+	order         []position
 }
 
 // New returns a service without upstreams.
@@ -76,8 +80,10 @@
 
 // Rank returns the upstreams that may get a request now, the best first. Those that failed recently come last; then
 // comfortable ones in the own zone come first; then the shortest estimate decides, and between equal ones the affinity.
+// The result is valid until the next call.
 func (s *Service) Rank(p Preferences, now time.Time) []Candidate {
-	ranked := make([]Candidate, 0, len(s.targets))
+	step := max(s.work/estimateSteps, time.Millisecond)
+	s.found, s.order = s.found[:0], s.order[:0]
 	for _, t := range s.targets {
 		if p.excludes(t.ID) || t.moved || now.Before(t.away) {
 			continue
@@ -86,16 +92,26 @@
 		if cold && s.cfg.ColdPerSecond > 0 && (!t.ColdShare || t.coldAllowance(now, s.cfg.ColdPerSecond) < 1) {
 			continue
 		}
-		ranked = append(ranked, Candidate{
-			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now), affinity: t.Affinity,
+		c := Candidate{
+			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
 			Age: s.age(t, now), Suspect: t.suspect(now), Free: t.occupied(now) < t.slots(),
 			Undisturbed: t.undisturbed(now),
 			Verified:    cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
-		})
+		}
+		s.order = append(s.order, p.position(&c, step, t.Affinity, len(s.found)))
+		s.found = append(s.found, c)
 	}
-	step := max(s.work/estimateSteps, time.Millisecond)
-	slices.SortFunc(ranked, func(a, b Candidate) int { return compare(a, b, p, step) })
-	return ranked
+	slices.SortFunc(s.order, func(a, b position) int {
+		if order := a.compare(b); order != 0 {
+			return order
+		}
+		return cmp.Compare(s.found[a.index].ID, s.found[b.index].ID)
+	})
+	s.ranked = s.ranked[:0]
+	for _, position := range s.order {
+		s.ranked = append(s.ranked, s.found[position.index])
+	}
+	return s.ranked
 }
 
 func (s *Service) age(t *target, now time.Time) time.Duration {
@@ -105,29 +121,6 @@
 	return now.Sub(t.loadAt)
 }
 
-// compare orders candidates. Estimates within the same step count as equal, so that the gateway returns to the upstreams for
-// which it has the greatest affinity and open connections.
-func compare(a, b Candidate, p Preferences, step time.Duration) int {
-	return cmp.Or(
-		boolOrder(a.Suspect, b.Suspect),
-		-boolOrder(a.Zone == p.Zone && p.comfortable(a.Estimate), b.Zone == p.Zone && p.comfortable(b.Estimate)),
-		cmp.Compare(a.Estimate/step, b.Estimate/step),
-		-boolOrder(a.Zone == p.Zone, b.Zone == p.Zone),
-		cmp.Compare(b.affinity, a.affinity),
-		cmp.Compare(a.ID, b.ID),
-	)
-}
-
-func boolOrder(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // estimate returns the expected time until the answer to a request sent now.
 func (s *Service) estimate(t *target, p Preferences, now time.Time) time.Duration {
 	slots, occupied := t.slots(), t.occupied(now)
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -75,8 +75,16 @@
 	return max(t.inflight, t.load.Running+t.load.Waiting+t.sentSince)
 }
 
+// decayed returns what is left of a value after some time. After ten time constants that is nothing that decides.
+func decayed(value float64, after, constant time.Duration) float64 {
+	if value == 0 || after > 10*constant {
+		return 0
+	}
+	return value * math.Exp(-float64(after)/float64(constant))
+}
+
 func (t *target) failureScore(now time.Time) float64 {
-	return t.failures * math.Exp(-float64(now.Sub(t.failuresAt))/float64(failureMemory))
+	return decayed(t.failures, now.Sub(t.failuresAt), failureMemory)
 }
 
 func (t *target) noteFailure(now time.Time) {
@@ -88,7 +96,7 @@
 }
 
 func (t *target) reportedScore(now time.Time) float64 {
-	return t.reported * math.Exp(-float64(now.Sub(t.reportedAt))/float64(reportedMemory))
+	return decayed(t.reported, now.Sub(t.reportedAt), reportedMemory)
 }
 
 func (t *target) suspect(now time.Time) bool {
@@ -100,8 +108,7 @@
 	if t.load.Pace <= 0 {
 		return mean
 	}
-	weight := math.Exp(-float64(now.Sub(t.loadAt)) / float64(paceMemory))
-	return mean + (t.load.Pace-mean)*weight
+	return mean + decayed(t.load.Pace-mean, now.Sub(t.loadAt), paceMemory)
 }
 
 func (t *target) undisturbed(now time.Time) bool {
