cluster: signal and send only what changed

Every message of a replica was signalled as a change, also news that another replica had told before, and reports of failures. Besides, each process woke 50 times a second to look for messages to send.

Now only what changes the roster, the registry or the view is signalled, and the sender wakes when there is something to send.

Ruled out: log lines, garbage collection (5 % of the time), dialing.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -33,7 +33,9 @@
 	registry *registry.Registry
 	view     atomic.Pointer[routingstate.View]
 	changed  chan struct{}
-	fetches  chan *nodelink.Link
+	// unsent signals that there may be something to tell subscribers.
+	unsent  chan struct{}
+	fetches chan *nodelink.Link
 
 	mu          sync.Mutex
 	self        roster.Node
@@ -52,7 +54,7 @@
 	}
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
-		changed: make(chan struct{}, 1), fetches: make(chan *nodelink.Link, 16),
+		changed: make(chan struct{}, 1), unsent: make(chan struct{}, 1), fetches: make(chan *nodelink.Link, 16),
 		dialed: make(map[string]*nodelink.Link), indexes: make(map[*nodelink.Link]uint64), keeping: make(map[string]context.CancelFunc),
 		subscribers: make(map[*nodelink.Link]*subscriber),
 	}
@@ -107,9 +109,12 @@
 // Changed signals that View, Upstreams or Nodes may have changed. Several changes may be one signal.
 func (c *Cluster) Changed() <-chan struct{} { return c.changed }
 
-func (c *Cluster) notify() {
+func (c *Cluster) notify() { signal(c.changed) }
+
+// signal sends to a channel of capacity 1, on which several signals may be one.
+func signal(c chan<- struct{}) {
 	select {
-	case c.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -389,6 +389,10 @@
 			return u == map[bool]int{true: 0, false: 1}[i == 0] && v == map[bool]int{true: 0, false: 2}[i == 4]
 		})
 	}
+	all[0].ShareFailures(map[string]int{"u": 1}) // too soon to be told at once
+	for _, p := range all[1:] {
+		eventually(t, "the others are told later", func() bool { return count(p.cfg.Self.Name, "u") == 2 })
+	}
 	is.Equal(count(all[0].cfg.Self.Name, "u"), 0)
 	is.Equal(count(all[4].cfg.Self.Name, "v"), 0)
 }
--- a/internal/cluster/failures.go
+++ b/internal/cluster/failures.go
@@ -42,6 +42,7 @@
 			s.failures.add(seen)
 		}
 	}
+	signal(c.unsent)
 	c.mu.Unlock()
 	if from != nil {
 		c.cfg.Failures(seen)
@@ -57,3 +58,15 @@
 	s.failures, s.toldFailures = make(failures), now
 	return taken
 }
+
+// holdsFailures tells whether a subscriber is to be told of failures later.
+func (c *Cluster) holdsFailures() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.subscribers {
+		if len(s.failures) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -31,6 +31,7 @@
 	self := c.self
 	c.mu.Unlock()
 	c.sendSelf(l, self)
+	c.notify() // this process may have been out of touch
 	c.log.Info("replica connected", zap.String("replica", l.Remote))
 }
 
@@ -93,9 +94,14 @@
 // update takes over what a replica tells.
 func (c *Cluster) update(l *nodelink.Link, u update) {
 	now := time.Now()
+	changed := false
 	for _, report := range u.Reports {
 		c.refute(report.Node)
-		if c.nodes.Report(l.Remote, report, now) && !c.nodes.IsAlive(report.Node.IP) {
+		if !c.nodes.Report(l.Remote, report, now) {
+			continue
+		}
+		changed = true
+		if !c.nodes.IsAlive(report.Node.IP) {
 			c.log.Info("process lost", zap.String("lost_vm", report.Node.Name), zap.String("reported_by", l.Remote))
 		}
 	}
@@ -107,7 +113,7 @@
 	}
 	for _, n := range u.Replicas {
 		// From a process that is no replica: reason enough to dial, none to send clients there.
-		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
+		changed = c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now) || changed
 	}
 	if u.ViewIndex > c.View().Index {
 		c.mu.Lock()
@@ -118,7 +124,9 @@
 		default: // fetches of the same view are waiting already
 		}
 	}
-	c.notify()
+	if changed {
+		c.notify()
+	}
 }
 
 // refute raises the incarnation of this process above that of a former one on the same VM. Incarnations come from the time of
@@ -144,6 +152,9 @@
 			s.entries[entry.ID] = entry
 		}
 	}
+	if len(changed) > 0 {
+		signal(c.unsent)
+	}
 	c.mu.Unlock()
 	for _, entry := range changed {
 		c.log.Info("upstream", zap.String("upstream", entry.ID), zap.String("service", entry.Service),
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -86,6 +86,7 @@
 	for _, s := range c.subscribers {
 		s.all = true // until now they were told of other replicas only
 	}
+	signal(c.unsent)
 	c.mu.Unlock()
 	c.log.Info("replica started", zap.Uint64("replica", uint64(id)), zap.Bool("fresh", fresh),
 		zap.Bool("founder", len(bootstrap.Voters) > 0))
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -48,6 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers[l] = s
+	signal(c.unsent)
 }
 
 // everything returns an update with all that this process knows. The caller holds mu.
@@ -105,6 +106,7 @@
 	for _, s := range c.subscribers {
 		s.reports[r.Node.IP] = r
 	}
+	signal(c.unsent)
 	c.notify()
 }
 
@@ -114,15 +116,16 @@
 	for _, s := range c.subscribers {
 		s.view = true
 	}
+	signal(c.unsent)
 }
 
 // publish tells the subscribers what changed.
 func (c *Cluster) publish(ctx context.Context) {
-	ticker := time.NewTicker(publishInterval)
-	defer ticker.Stop()
+	var held <-chan time.Time
 	for {
 		select {
-		case <-ticker.C:
+		case <-c.unsent:
+		case <-held:
 		case <-ctx.Done():
 			return
 		}
@@ -131,6 +134,15 @@
 				c.log.Error("update not encoded", zap.Error(err))
 			}
 		}
+		held = nil
+		if c.holdsFailures() {
+			held = time.After(failuresInterval)
+		}
+		select {
+		case <-time.After(publishInterval):
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/cluster/subscriber_test.go
+++ b/internal/cluster/subscriber_test.go
@@ -174,6 +174,35 @@
 	is.Equal(len(taken(c, first).Entries), 1) // the change only
 }
 
+// Guards against processes that work out anew where to send requests because of news that they have from another replica
+// already, or because of failures, which are passed on separately.
+func TestOnlyChangesAreSignalled(t *testing.T) {
+	is := is.New(t)
+	c := unconnected(Config{})
+	signalled := func() bool {
+		select {
+		case <-c.Changed():
+			return true
+		default:
+			return false
+		}
+	}
+	link := &nodelink.Link{Remote: "127.0.0.2:1000", Dialed: true}
+	other := roster.Report{Alive: true, Node: roster.Node{IP: "127.0.0.3", Incarnation: 1, Seq: 1}}
+	news := update{
+		Reports: []roster.Report{other},
+		Entries: []registry.Entry{{ID: "u", Service: "s", Address: "10.0.0.1:80", State: registry.Ready, Born: 1, Seq: 1}},
+	}
+	c.update(link, news)
+	is.True(signalled())
+	c.update(link, news)
+	c.update(link, update{Failures: failures{"u": 1}})
+	is.True(!signalled())
+	other.Alive = false
+	c.update(link, update{Reports: []roster.Report{other}})
+	is.True(signalled())
+}
+
 // BenchmarkTellEverything measures what 108 processes cost a replica that connect at once.
 func BenchmarkTellEverything(b *testing.B) {
 	c := unconnected(Config{})
