entrynode: pass on to the data path only what changed

Cause: the data path was worked out anew each second and with each signal, 1.5 to 2.7 ms of processor time each on a VM of 0.16 cores, though in most cases nothing had changed: news that a second replica tells changes who reported a process, but not that it is alive.

Now the roster and the registry count what changes their results, and an update needs another revision. Found on the way: whether probes say anything about a service's upstreams took effect only with the next update; TestUpstreamsWithoutLoadReports fails before.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -119,6 +119,11 @@
 	}
 }
 
+// Revision returns the revision of what the process knows now.
+func (c *Cluster) Revision() Revision {
+	return Revision{View: c.View().Index, Upstreams: c.registry.Revision(), Nodes: c.nodes.Revision(), InTouch: c.InTouch()}
+}
+
 // View returns the newest configuration and evacuations known here. It never goes back.
 func (c *Cluster) View() *routingstate.View { return c.view.Load() }
 
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -94,14 +94,10 @@
 // update takes over what a replica tells.
 func (c *Cluster) update(l *nodelink.Link, u update) {
 	now := time.Now()
-	changed := false
+	before := c.nodes.Revision()
 	for _, report := range u.Reports {
 		c.refute(report.Node)
-		if !c.nodes.Report(l.Remote, report, now) {
-			continue
-		}
-		changed = true
-		if !c.nodes.IsAlive(report.Node.IP) {
+		if c.nodes.Report(l.Remote, report, now) && !c.nodes.IsAlive(report.Node.IP) {
 			c.log.Info("process lost", zap.String("lost_vm", report.Node.Name), zap.String("reported_by", l.Remote))
 		}
 	}
@@ -113,7 +109,7 @@
 	}
 	for _, n := range u.Replicas {
 		// From a process that is no replica: reason enough to dial, none to send clients there.
-		changed = c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now) || changed
+		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
 	}
 	if u.ViewIndex > c.View().Index {
 		c.mu.Lock()
@@ -124,7 +120,7 @@
 		default: // fetches of the same view are waiting already
 		}
 	}
-	if changed {
+	if c.nodes.Revision() != before {
 		c.notify()
 	}
 }
--- a/internal/cluster/subscriber_test.go
+++ b/internal/cluster/subscriber_test.go
@@ -195,12 +195,19 @@
 	}
 	c.update(link, news)
 	is.True(signalled())
+	known := c.Revision()
 	c.update(link, news)
+	c.update(&nodelink.Link{Remote: "127.0.0.4:1000", Dialed: true}, news)
 	c.update(link, update{Failures: failures{"u": 1}})
 	is.True(!signalled())
+	is.Equal(c.Revision(), known)
 	other.Alive = false
-	c.update(link, update{Reports: []roster.Report{other}})
+	c.update(link, update{Reports: []roster.Report{other}}) // another replica still sees it
+	is.True(!signalled())
+	is.Equal(c.Revision(), known)
+	c.update(&nodelink.Link{Remote: "127.0.0.4:1000", Dialed: true}, update{Reports: []roster.Report{other}})
 	is.True(signalled())
+	is.True(c.Revision() != known)
 }
 
 // BenchmarkTellEverything measures what 108 processes cost a replica that connect at once.
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -56,7 +56,8 @@
 type fakeUpstream struct {
 	id     string
 	server *httptest.Server
-	warmup int // ms, in health responses
+	warmup int  // ms, in health responses
+	noLoad bool // reports no load
 	answer http.HandlerFunc
 
 	mu       sync.Mutex
@@ -73,7 +74,9 @@
 
 // ServeHTTP implements http.Handler.
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set(testLoad, "0")
+	if !u.noLoad {
+		w.Header().Set(testLoad, "0")
+	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(testUpstream, u.id)
 		if u.warmup > 0 {
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -60,7 +60,10 @@
 	if ok {
 		s.balancer.Observe(c.ID, load, now)
 	}
-	s.reportsNo = !ok
+	if s.reportsNo == ok {
+		s.reportsNo = !ok
+		s.configure()
+	}
 }
 
 // askHealth asks on a kept connection, and once more on a new one if the upstream had dropped that.
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// Guards against refusing requests for a service whose upstreams report no load, until something else in the deployment changes.
+func TestUpstreamsWithoutLoadReports(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "a", fine)
+	u.noLoad = true
+	g := newGateway(t, world(u.entry()))
+	is.Equal(send(t, g, "/idempotent/1", nil).Code, 200)
+	s := g.service("s")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ranked := s.balancer.Rank(balancing.Preferences{Zone: "z"}, time.Now().Add(time.Minute))
+	is.True(ranked[0].Verified) // nothing more can be found out
+}
+
 // Guards against repeating probes to an upstream that is really gone.
 func TestProbeOfALostUpstream(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -22,9 +22,11 @@
 	balancer   *balancing.Service
 	healthPath string
 	maxConns   int
-	pools      map[string]*upstreamconn.Pool // by address
-	probeTime  time.Duration                 // usual duration of a probe that is answered
-	reportsNo  bool                          // upstreams of the service report no load, so asking them tells nothing
+	// coldPerSecond is this gateway's allowance for a cold upstream; zero means no bound.
+	coldPerSecond float64
+	pools         map[string]*upstreamconn.Pool // by address
+	probeTime     time.Duration                 // usual duration of a probe that is answered
+	reportsNo     bool                          // upstreams of the service report no load, so asking them tells nothing
 }
 
 func newService(cfg Config, name string, b *bulk, f *failures) *service {
@@ -40,12 +42,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.healthPath, s.maxConns = c.HealthPath, c.MaxConnections
-	cold := 0.0
+	s.coldPerSecond = 0
 	if c.WarmupPerSecond > 0 {
 		bound := c.WarmupPerSecond*s.cfg.ColdFactor + s.cfg.ColdSlack
-		cold = min(c.WarmupPerSecond, bound/coldOwners-1)
+		s.coldPerSecond = min(c.WarmupPerSecond, bound/coldOwners-1)
 	}
-	s.balancer.Configure(balancing.Config{ColdPerSecond: cold, Verify: cold > 0 && c.HealthPath != "" && !s.reportsNo})
+	s.configure()
 	s.balancer.SetUpstreams(upstreams, now)
 	current := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
@@ -59,6 +61,13 @@
 	}
 }
 
+// configure passes the configuration on to the balancer. The caller holds mu.
+func (s *service) configure() {
+	s.balancer.Configure(balancing.Config{
+		ColdPerSecond: s.coldPerSecond, Verify: s.coldPerSecond > 0 && s.healthPath != "" && !s.reportsNo,
+	})
+}
+
 // pool returns the connections to an address.
 func (s *service) pool(address string) *upstreamconn.Pool {
 	s.mu.Lock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -60,6 +60,8 @@
 	gateway  *edge.Gateway
 	metrics  *edge.Metrics
 	leaving  atomic.Bool
+	// applied is the revision that the gateway has; refresh only.
+	applied cluster.Revision
 }
 
 // New returns a node that is not running.
@@ -204,7 +206,13 @@
 	}
 }
 
+// update passes on what changed since the last time. Working out where to send requests takes 1 to 3 ms on a VM of 0.16 cores.
 func (n *Node) update() {
+	known := n.cluster.Revision() // before what it stands for, so that a change meanwhile is seen next time
+	if known == n.applied {
+		return
+	}
+	n.applied = known
 	var gateways []placement.Member
 	for _, node := range n.cluster.Nodes() {
 		if node.State == roster.Serving {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -15,7 +15,7 @@
 	mu       sync.Mutex
 	entries  map[string]*record
 	byOwner  map[string]string // address to the id of the upstream that has it now
-	revision uint64            // counts material changes
+	revision uint64            // counts material changes and those of warm-ups
 }
 
 type record struct {
@@ -49,6 +49,9 @@
 	rec := &record{Entry: e, heard: now, since: now}
 	if old != nil && !e.differs(&old.Entry) {
 		rec.since = old.since
+		if e.WarmupLeft > old.WarmupLeft-now.Sub(old.heard) && e.WarmupLeft > 0 {
+			r.revision++ // it stays cold for longer than was known, which only those need to know who send to it
+		}
 	} else {
 		changed = append(changed, e)
 	}
@@ -71,7 +74,7 @@
 	return other
 }
 
-// Revision changes whenever an entry changed materially.
+// Revision changes whenever an entry changed materially or will be cold for longer.
 func (r *Registry) Revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -14,6 +14,8 @@
 type Roster struct {
 	mu    sync.Mutex
 	nodes map[string]*record
+	// revision counts changes of what Alive returns.
+	revision uint64
 }
 
 type record struct {
@@ -38,7 +40,12 @@
 		rec = &record{node: report.Node, alive: make(map[string]bool)}
 		r.nodes[report.Node.IP] = rec
 	}
-	changed := false
+	changed, wasAlive := false, len(rec.alive) > 0
+	defer func() {
+		if changed || wasAlive != (len(rec.alive) > 0) {
+			r.revision++
+		}
+	}()
 	if report.Node.supersedes(&rec.node) {
 		if report.Node.Incarnation != rec.node.Incarnation {
 			clear(rec.alive)
@@ -81,6 +88,13 @@
 	return rec != nil && len(rec.alive) > 0
 }
 
+// Revision changes whenever the result of Alive does.
+func (r *Roster) Revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
 // Known returns all remembered nodes, dead or alive.
 func (r *Roster) Known() []Node {
 	r.mu.Lock()
