balancing: limit the search once something is known that would do

Now the second round asks three, and once four were asked the best known one that would do is taken. An upstream counts as good only if it has room for what other gateways send at the same time (70 % of its slots).

--- a/balancing/candidate.go
+++ b/balancing/candidate.go
@@ -15,6 +15,9 @@
 	Cold    bool
 	// Free tells that it has a free slot, as far as known.
 	Free bool
+	// Roomy tells that it stays well below its slots with another request, so that it bears those that other gateways send at
+	// the same time.
+	Roomy bool
 	// Quick tells that the estimate is hardly above the mean work.
 	Quick bool
 	// Undisturbed tells that its current load shows that requests run there at their usual speed.
--- a/balancing/choice.go
+++ b/balancing/choice.go
@@ -65,10 +65,14 @@
 			best, ok = ranked[i], true
 		}
 	}
-	enough := p.Suits(best) || settled && (!canAsk || len(s.Asked) >= enoughAsked)
-	if ok && best.Verified && (!open || best.Fresh() && enough) {
+	if ok && best.Verified && (!open || p.Suits(best)) {
 		return Choice{Verdict: Send, Best: best}
 	}
+	if settled && (!canAsk || len(s.Asked) >= enoughAsked) {
+		if i := slices.IndexFunc(ranked, p.wouldDo); i >= 0 {
+			return Choice{Verdict: Send, Best: ranked[i]}
+		}
+	}
 	c := Choice{Verdict: Wait, Best: best}
 	if !ok {
 		c.Best = ranked[0]
@@ -100,11 +104,18 @@
 	return Candidate{}, false
 }
 
+// wouldDo tells whether the candidate is known to be able to answer the request in time.
+func (p Preferences) wouldDo(c Candidate) bool { return c.Verified && c.Fresh() && p.Admits(c) }
+
 // askInRound returns how many candidates to ask for their load in a round. The first is asked alone, because it is well in three
-// of four cases, and probes and their connections are most of what a request costs a small VM.
+// of four cases, and probes and their connections are most of what a request costs a small VM. Rounds after the second find that
+// all is busy or does not answer; few probes at a time do not make that worse.
 func askInRound(round int) int {
-	if round == 0 {
+	switch round {
+	case 0:
 		return 1
+	case 1:
+		return enoughAsked - 1
 	}
 	return 2
 }
--- a/balancing/load_test.go
+++ b/balancing/load_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// Load: the same look-ups after a quarter of the upstreams left. Those that are well are half full, and gateways learn of each
+// other's requests only after 10 ms. Guards against filling some upstreams while others have room.
+func TestGatewaysSpreadRequests(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(2) {
+		s := simulation{
+			seed: seed, hosts: 90, gateways: 97, perSecond: 580, slowShare: 0.35, work: 260 * time.Millisecond, slots: 6, knee: 1.7,
+			target: 600 * time.Millisecond, length: 6 * time.Second, probe: true, affinity: true, lag: 10 * time.Millisecond, settle: true,
+		}
+		before := s.run()
+		s.settle = false
+		after := s.run()
+		t.Logf("seed %d: in time %.3f with the first that would do, %.3f with a good one; %d and %d asked, %d and %d connections for %d requests",
+			seed, before.share(), after.share(), before.asked, after.asked, before.connections, after.connections, after.requests)
+		is.True(after.share() > before.share())
+		is.True(1-after.share() <= lateTarget)
+	}
+}
+
 // Load: two of three zones are out under a burst, and what is left bears half of the requests. Guards against queues at the
 // upstreams in which every request becomes late: refusing what would be late at once must leave more answers in time than
 // sending everything, and must refuse nothing while there is room.
--- a/balancing/preferences.go
+++ b/balancing/preferences.go
@@ -42,7 +42,7 @@
 
 // Suits tells whether the candidate is known to be well enough that no better one needs to be found.
 func (p Preferences) Suits(c Candidate) bool {
-	return c.Verified && c.Fresh() && !c.Suspect && c.Free && (c.Quick || p.comfortable(c.Estimate)) && p.Admits(c)
+	return c.Verified && c.Fresh() && !c.Suspect && c.Roomy && (c.Quick || p.comfortable(c.Estimate)) && p.Admits(c)
 }
 
 func (p Preferences) comfortable(estimate time.Duration) bool {
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -98,6 +98,7 @@
 			Undisturbed: t.undisturbed(now),
 			Verified:    cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		}
+		c.Roomy = t.roomy(now)
 		c.Quick = float64(c.Estimate-t.roundTrip) <= quickFactor*float64(s.work)
 		s.order = append(s.order, p.position(&c, step, t.Affinity, len(s.found)))
 		s.found = append(s.found, c)
--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -85,6 +85,8 @@
 	knee  float64
 	// settle takes the first upstream that would do, though it is not good, as the gateways did before.
 	settle bool
+	// lag is the time between the choice of a host and the start there.
+	lag time.Duration
 	// probe asks the best candidates before sending, as the gateways do.
 	probe bool
 	// failing is the share of the hosts at which failRate of the requests fail, although their health responses are good.
@@ -136,11 +138,30 @@
 		services[i].SetUpstreams(upstreams, epoch)
 	}
 	var running jobs
+	var sent []*job // in the order in which they will start
+	start := func(j *job, at time.Duration) {
+		h := j.host
+		if h.running == h.slots {
+			h.queue = append(h.queue, j)
+			return
+		}
+		h.running++
+		j.ends = at + h.duration(j, at)
+		heap.Push(&running, j)
+	}
 	var r result
 	reports := make(map[int64]map[string][]int) // by period of shareAfter and host: who saw failures
 	fails := rand.New(rand.NewPCG(s.seed, 8))
 	finish := func(until time.Duration) {
-		for len(running) > 0 && running[0].ends <= until {
+		for {
+			if len(sent) > 0 && sent[0].arrived+s.lag <= until && (len(running) == 0 || sent[0].arrived+s.lag <= running[0].ends) {
+				start(sent[0], sent[0].arrived+s.lag)
+				sent = sent[1:]
+				continue
+			}
+			if len(running) == 0 || running[0].ends > until {
+				return
+			}
 			j := heap.Pop(&running).(*job)
 			now := epoch.Add(j.ends)
 			took := j.ends - j.arrived
@@ -160,9 +181,7 @@
 			if len(j.host.queue) > 0 {
 				next := j.host.queue[0]
 				j.host.queue = j.host.queue[1:]
-				j.host.running++
-				next.ends = j.ends + j.host.duration(next, j.ends)
-				heap.Push(&running, next)
+				start(next, j.ends)
 			}
 			services[j.gateway].Observe(j.host.id, j.host.load(j.ends), now)
 			if outcome == Answered && took <= s.target {
@@ -229,13 +248,7 @@
 		connect(gateway, h.id, at)
 		service.Begin(h.id, now)
 		j := &job{candidate: chosen, arrived: at, gateway: gateway, host: h, work: time.Duration((0.7 + 0.6*random.Float64()) * float64(s.work))}
-		if h.running < h.slots {
-			h.running++
-			j.ends = at + h.duration(j, at)
-			heap.Push(&running, j)
-		} else {
-			h.queue = append(h.queue, j)
-		}
+		sent = append(sent, j)
 	}
 	finish(1 << 62)
 	return r
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -29,6 +29,9 @@
 	// kneeShare and kneeFactor: upstreams slow down when they are nearly full.
 	kneeShare  = 0.8
 	kneeFactor = 1.5
+	// roomyShare is the share of the slots up to which an upstream bears that several gateways choose it within the 10 ms after
+	// which they learn of each other's requests.
+	roomyShare = 0.7
 	// coldFactor is how much longer a cold upstream takes.
 	coldFactor = 2.0
 	// unreachableFor is how long an upstream that could not be reached is left alone; doubled each time up to the maximum.
@@ -83,6 +86,11 @@
 	return value * math.Exp(-float64(after)/float64(constant))
 }
 
+func (t *target) roomy(now time.Time) bool {
+	occupied := t.occupied(now)
+	return occupied == 0 || float64(occupied+1) <= roomyShare*float64(t.slots())
+}
+
 func (t *target) failureScore(now time.Time) float64 {
 	return decayed(t.failures, now.Sub(t.failuresAt), failureMemory)
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -26,6 +26,8 @@
 	started    int
 	mayHaveRun bool
 	tried      []string
+	// asked counts the upstreams that were asked for their load.
+	asked int
 	// passedOver is the best upstream that did not get the request, because it would not have answered in time.
 	passedOver balancing.Candidate
 }
@@ -132,7 +134,8 @@
 func (c *call) start(ctx context.Context, results chan<- *attempt, wait bool) (*attempt, balancing.Verdict) {
 	until := c.arrived.Add(time.Duration(waitShare * float64(c.target())))
 	for step := waitStep; ; {
-		candidate, v := c.service.pick(ctx, c.preferences())
+		candidate, asked, v := c.service.pick(ctx, c.preferences())
+		c.asked += asked
 		if v == balancing.Send {
 			c.started++
 			c.tried = append(c.tried, candidate.ID)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -189,7 +189,8 @@
 		fields = append(fields, zap.Strings("upstreams", c.tried))
 	}
 	if a != nil {
-		fields = append(fields, zap.Int("status", a.resp.StatusCode), zap.Duration("estimate", a.candidate.Estimate),
+		fields = append(fields, zap.Int("status", a.resp.StatusCode), zap.Float64("sent_after_ms", float64(a.began.Sub(c.arrived).Microseconds())/1000),
+			zap.Int("asked", c.asked), zap.Duration("estimate", a.candidate.Estimate),
 			zap.Duration("load_age", a.candidate.Age), zap.Stringer("load", a.candidate.Load))
 	}
 	if f != nil && c.passedOver.ID != "" {
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -19,8 +19,8 @@
 )
 
 // pick chooses an upstream and records that a request is being sent to it. It asks the best candidates for their load unless
-// that is known, and goes on as soon as one of the answers is good.
-func (s *service) pick(ctx context.Context, p balancing.Preferences) (balancing.Candidate, balancing.Verdict) {
+// that is known, and goes on as soon as one of the answers is good. It returns how many it asked.
+func (s *service) pick(ctx context.Context, p balancing.Preferences) (best balancing.Candidate, asked int, v balancing.Verdict) {
 	answered := make(chan struct{}, balancing.MaxAsked)
 	search := balancing.Search{Asked: make(map[string]bool)}
 	pending := 0
@@ -29,7 +29,7 @@
 		search.CanAsk = ctx.Err() == nil && s.canAsk()
 		choice := s.look(p, search)
 		if choice.Verdict != balancing.Wait {
-			return choice.Best, choice.Verdict
+			return choice.Best, len(search.Asked), choice.Verdict
 		}
 		if len(choice.Ask) > 0 {
 			for _, c := range choice.Ask {
@@ -50,7 +50,7 @@
 		case <-timer:
 			search.RoundOver = true
 		case <-ctx.Done():
-			return choice.Best, balancing.Unknown
+			return choice.Best, len(search.Asked), balancing.Unknown
 		}
 	}
 }
