balancing: no late answers from disturbed upstreams

Played loads show how: in a burst a request for which no upstream is in time goes to one that is seven times slower and has a free slot. It keeps the slot for 1.8 s, also after the upstream has recovered, so fast upstreams are full too, and more requests find none in time.

--- a/balancing/candidate.go
+++ b/balancing/candidate.go
@@ -22,6 +22,8 @@
 	Quick bool
 	// Undisturbed tells that its current load shows that requests run there at their usual speed.
 	Undisturbed bool
+	// Disturbed tells that requests ran slowly there a moment ago.
+	Disturbed bool
 	// Verified tells that it was confirmed recently that the upstream is not cold, or that this gateway may send to it although
 	// it is. An upstream that is not verified must be asked first.
 	Verified bool
--- a/balancing/load_test.go
+++ b/balancing/load_test.go
@@ -1,6 +1,7 @@
 package balancing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,6 +80,28 @@
 	}
 }
 
+// Load: the look-ups of the grown library after a quarter of the upstreams left, with a burst of 1.6 times as many for three
+// seconds. Guards against requests that are late anyway and fill disturbed upstreams, whose slots are then missing when they have
+// recovered: callers got late answers for long after the burst.
+func TestCallersAreServedAfterABurst(t *testing.T) {
+	for _, perSecond := range []float64{540, 600} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			is := is.New(t)
+			s := simulation{
+				seed: 1, hosts: 90, gateways: 97, perSecond: perSecond, slowShare: 0.35, work: 260 * time.Millisecond, slots: 6, knee: 1.7,
+				target: 600 * time.Millisecond, length: 8 * time.Second, probe: true, affinity: true, admit: true,
+				lag: 10 * time.Millisecond, burst: 1.6, burstFor: 3 * time.Second, useDisturbed: true,
+			}
+			before := s.run()
+			s.useDisturbed = false
+			after := s.run()
+			t.Logf("in time %.3f and %.3f refused with disturbed upstreams, %.3f and %.3f without", before.share(),
+				float64(before.refused)/float64(before.requests), after.share(), float64(after.refused)/float64(after.requests))
+			is.True(after.inTarget > before.inTarget)
+		})
+	}
+}
+
 // Load: two of three zones are out under a burst, and what is left bears half of the requests. Guards against queues at the
 // upstreams in which every request becomes late: refusing what would be late at once must leave more answers in time than
 // sending everything, and must refuse nothing while there is room.
--- a/balancing/preferences.go
+++ b/balancing/preferences.go
@@ -31,13 +31,14 @@
 )
 
 // Admits tells whether a request should be sent to the candidate. Under overload a request that would be late anyway must not
-// take the place of one that can be answered in time; it uses free slots only.
+// take the place of one that can be answered in time: it uses free slots only, and not those of a disturbed upstream, where it
+// would keep its slot for several times as long, also after the upstream has recovered. After a burst that kept upstreams full.
 func (p Preferences) Admits(c Candidate) bool {
 	inTime := p.Target > 0 && float64(c.Estimate) <= admitShare*float64(p.Target)
 	if p.OnlyFree {
 		return inTime && c.Free
 	}
-	return inTime || c.Free && float64(c.Estimate) <= lateShare*float64(p.Left)
+	return inTime || c.Free && !c.Disturbed && float64(c.Estimate) <= lateShare*float64(p.Left)
 }
 
 // Suits tells whether the candidate is known to be well enough that no better one needs to be found.
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -95,8 +95,8 @@
 		c := Candidate{
 			ID: t.ID, Address: t.Address, Zone: t.Zone, Cold: cold, Estimate: s.estimate(t, p, now),
 			Load: t.load, Age: s.age(t, now), Suspect: t.suspect(now), Free: t.occupied(now) < t.slots(),
-			Undisturbed: t.undisturbed(now),
-			Verified:    cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
+			Undisturbed: t.undisturbed(now), Disturbed: t.disturbed(now),
+			Verified: cold || !s.cfg.Verify || now.Sub(t.checkedAt) <= verifiedFor,
 		}
 		c.Roomy = t.roomy(now)
 		c.Quick = float64(c.Estimate-t.roundTrip) <= quickFactor*float64(s.work)
--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -87,6 +88,12 @@
 	settle bool
 	// lag is the time between the choice of a host and the start there.
 	lag time.Duration
+	// burst times perSecond arrive in the first burstFor.
+	burst    float64
+	burstFor time.Duration
+	// useDisturbed sends a request for which there is nothing better to a disturbed host with a free slot, as the gateways did
+	// before.
+	useDisturbed bool
 	// probe asks the best candidates before sending, as the gateways do.
 	probe bool
 	// failing is the share of the hosts at which failRate of the requests fail, although their health responses are good.
@@ -130,6 +137,7 @@
 	services := make([]*Service, s.gateways)
 	for i := range services {
 		services[i] = New()
+		services[i].Configure(Config{ColdPerSecond: 10, Verify: s.probe})
 		for j := range upstreams {
 			if s.affinity {
 				upstreams[j].Affinity = random.Uint64()
@@ -215,7 +223,7 @@
 		connected[key] = at + idleLimit
 	}
 	p := Preferences{Zone: "z", Target: s.target, Left: 5 * s.target}
-	for at := time.Duration(0); at < s.length; at += time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)) {
+	for at := time.Duration(0); at < s.length; at += time.Duration(random.ExpFloat64() / s.rate(at) * float64(time.Second)) {
 		finish(at)
 		learn(at)
 		gateway := random.IntN(s.gateways)
@@ -237,7 +245,10 @@
 			choice = p.Choose(ranked, search)
 		}
 		chosen := choice.Best
-		if choice.Verdict != Send && !(s.settle && ranked[0].Fresh()) {
+		late := slices.IndexFunc(ranked, func(c Candidate) bool { return c.Disturbed && c.Free && c.Verified })
+		if s.useDisturbed && choice.Verdict != Send && late >= 0 {
+			chosen = ranked[late]
+		} else if choice.Verdict != Send && !(s.settle && ranked[0].Fresh()) {
 			if s.admit {
 				r.refused++
 				continue
@@ -254,6 +265,14 @@
 	return r
 }
 
+// rate returns the requests per second at a time.
+func (s simulation) rate(at time.Duration) float64 {
+	if at < s.burstFor {
+		return s.burst * s.perSecond
+	}
+	return s.perSecond
+}
+
 // report keeps a failure for the gateways that did not see it.
 func (s simulation) report(reports map[int64]map[string][]int, j *job) {
 	period := int64(j.ends / s.shareAfter)
--- a/balancing/target.go
+++ b/balancing/target.go
@@ -123,6 +123,10 @@
 	return t.load.Pace > 0 && t.load.Pace < disturbedPace && t.load.Waiting == 0 && now.Sub(t.loadAt) <= FreshFor
 }
 
+func (t *target) disturbed(now time.Time) bool {
+	return t.load.Pace >= disturbedPace && now.Sub(t.loadAt) <= paceMemory
+}
+
 func (t *target) cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
 // coldAllowance refills the tokens for a cold upstream.
