balancing: a disturbed upstream as the last resort

If none of them runs at its usual speed nobody waits for their slots, and a late answer is better than none.

--- a/balancing/choice.go
+++ b/balancing/choice.go
@@ -87,6 +87,9 @@
 	if best, ok := p.first(ranked, false); ok {
 		return Choice{Verdict: Send, Best: best}
 	}
+	if best, ok := p.lastResort(ranked); ok {
+		return Choice{Verdict: Send, Best: best}
+	}
 	c.Verdict = Overloaded
 	if _, hope := p.first(ranked, true); hope {
 		c.Verdict = Unknown
@@ -104,7 +107,20 @@
 	return Candidate{}, false
 }
 
-// wouldDo tells whether the candidate is known to be able to answer the request in time.
+// lastResort returns the first candidate that would answer before the deadline if all of them are disturbed: then none is waiting
+// for the slots, and a late answer is better than none. Extra tries have no last resort.
+func (p Preferences) lastResort(ranked []Candidate) (Candidate, bool) {
+	if p.OnlyFree || slices.ContainsFunc(ranked, func(c Candidate) bool { return !c.Disturbed }) {
+		return Candidate{}, false
+	}
+	i := slices.IndexFunc(ranked, func(c Candidate) bool { return c.Verified && c.Free && p.beforeDeadline(c) })
+	if i < 0 {
+		return Candidate{}, false
+	}
+	return ranked[i], true
+}
+
+// wouldDo tells whether the candidate is known to be able to answer the request.
 func (p Preferences) wouldDo(c Candidate) bool { return c.Verified && c.Fresh() && p.Admits(c) }
 
 // askInRound returns how many candidates to ask for their load in a round. The first is asked alone, because it is well in three
--- a/balancing/preferences.go
+++ b/balancing/preferences.go
@@ -38,7 +38,11 @@
 	if p.OnlyFree {
 		return inTime && c.Free
 	}
-	return inTime || c.Free && !c.Disturbed && float64(c.Estimate) <= lateShare*float64(p.Left)
+	return inTime || c.Free && !c.Disturbed && p.beforeDeadline(c)
+}
+
+func (p Preferences) beforeDeadline(c Candidate) bool {
+	return float64(c.Estimate) <= lateShare*float64(p.Left)
 }
 
 // Suits tells whether the candidate is known to be well enough that no better one needs to be found.
