--- a/balancing/choice.go
+++ b/balancing/choice.go
@@ -107,8 +107,8 @@
 	return Candidate{}, false
 }
 
-// lastResort returns the first candidate that would answer before the deadline if all of them are disturbed: then none is waiting
-// for the slots, and a late answer is better than none. Extra tries have no last resort.
+// lastResort returns the first candidate that would answer before the deadline if all of them are disturbed: a request that waits
+// for a better one would find none, and a late answer is better than none. Extra tries have no last resort.
 func (p Preferences) lastResort(ranked []Candidate) (Candidate, bool) {
 	if p.OnlyFree || slices.ContainsFunc(ranked, func(c Candidate) bool { return !c.Disturbed }) {
 		return Candidate{}, false
--- a/balancing/preferences.go
+++ b/balancing/preferences.go
@@ -32,7 +32,8 @@
 
 // Admits tells whether a request should be sent to the candidate. Under overload a request that would be late anyway must not
 // take the place of one that can be answered in time: it uses free slots only, and not those of a disturbed upstream, where it
-// would keep its slot for several times as long, also after the upstream has recovered. After a burst that kept upstreams full.
+// would keep its slot for several times as long, also after the upstream has recovered. In a played burst that kept upstreams full
+// after its end.
 func (p Preferences) Admits(c Candidate) bool {
 	inTime := p.Target > 0 && float64(c.Estimate) <= admitShare*float64(p.Target)
 	if p.OnlyFree {
