balancing: keep the service time of each route, hedge again, retry on spare capacity

The mean service time was kept for the whole service, and half of its requests belong to other routes that take next to nothing. An upstream that was four times slower then still looked fast enough. A retry whose latency target had passed was never sent, so the caller got the failure.

TestHedgeIsTriedAgain, TestStateOfRemovedServicesAndRoutesIsDropped and two rows of TestChoose fail without it.

--- a/balancing/choice_test.go
+++ b/balancing/choice_test.go
@@ -19,6 +19,9 @@
 	fourProbed := map[string]bool{"1": true, "2": true, "3": true, "4": true}
 	retry := requirements
 	retry.OnlyFreeSlots = true
+	lateRetry := retry
+	lateRetry.Target = -time.Second
+	nearlyFull := Candidate{ID: "nearlyFull", Zone: "z", Estimate: 200 * time.Millisecond, HasFreeSlot: true, Verified: true}
 	for _, test := range []struct {
 		description  string
 		requirements Requirements
@@ -40,6 +43,8 @@
 		{"slow and full", requirements, []Candidate{full, slow}, Search{CanProbe: true}, Overloaded, "full", 0},
 		{"only a slow one", requirements, []Candidate{slow}, Search{CanProbe: true}, Send, "slow", 0},
 		{"retry, only a slow one", retry, []Candidate{slow}, Search{CanProbe: true}, Overloaded, "slow", 0},
+		{"retry after the target, spare capacity", lateRetry, []Candidate{good}, Search{CanProbe: true}, Send, "good", 0},
+		{"retry after the target, a slot but no spare capacity", lateRetry, []Candidate{nearlyFull}, Search{CanProbe: true}, Overloaded, "nearlyFull", 0},
 	} {
 		t.Run(test.description, func(t *testing.T) {
 			is := is.New(t)
--- a/balancing/load_test.go
+++ b/balancing/load_test.go
@@ -166,3 +166,22 @@
 		is.True(1-improved.inTimeShare() <= maxLateShare)
 	}
 }
+
+// Guards against sending long requests to slow upstreams because the short requests of another route of the same service
+// make the mean service time small. Load: 10 upstreams with two slots, a quarter of them four to seven times slower for
+// half a second at a time, and 18 gateways; of 45 requests/s more than half take 2 ms and the others 160 ms.
+func TestServiceTimesOfRoutesAreSeparate(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(5) {
+		s := simulation{
+			seed: seed, upstreams: 10, gateways: 18, requestsPerSecond: 45, slowShare: 0.25, serviceTime: 160 * time.Millisecond, slots: 2, knee: 1.7,
+			target: 400 * time.Millisecond, duration: 30 * time.Second, useProbes: true, affinity: true, shortShare: 0.55, oneServiceTime: true,
+		}
+		baseline := s.run()
+		s.oneServiceTime = false
+		improved := s.run()
+		t.Logf("seed %d: in time %.3f with one service time, %.3f with one for each route", seed, baseline.inTimeShare(), improved.inTimeShare())
+		is.True(improved.inTimeShare() > baseline.inTimeShare())
+		is.True(1-improved.inTimeShare() <= maxLateShare)
+	}
+}
--- a/balancing/requirements.go
+++ b/balancing/requirements.go
@@ -6,12 +6,16 @@
 type Requirements struct {
 	// Zone is the availability zone of the gateway.
 	Zone string
+	// Route is the name of the request's route. Requests of one route take about the same time.
+	Route string
+	// LatencyTarget is the whole latency target of the route. Zero means that it has none.
+	LatencyTarget time.Duration
 	// Target is the remaining part of the latency target.
 	Target time.Duration
 	// TimeLeft is the time until the deadline.
 	TimeLeft time.Duration
-	// OnlyFreeSlots admits only upstreams with a free slot that respond within the target. It is set for retries and
-	// hedges, which must not add to an overload.
+	// OnlyFreeSlots admits only upstreams with a free slot. It is set for retries and hedges, which must not add to an
+	// overload.
 	OnlyFreeSlots bool
 	// Large marks requests with long responses, which should not cross zones unnecessarily.
 	Large bool
@@ -37,10 +41,13 @@
 // must not displace one that can be served in time, so it may only use free slots. It may not use a slot of a slow
 // upstream either: it would occupy that slot several times as long, even after the upstream has recovered. In a
 // simulation, such requests kept upstreams full after a burst (TestSlowUpstreamsAreNotFilledDuringABurst).
+//
+// A retry or hedge that will be late may only use spare capacity. It is admitted at all because the alternative for the
+// client is no response.
 func (r Requirements) Admits(c Candidate) bool {
 	inTime := r.Target > 0 && float64(c.Estimate) <= admitShare*float64(r.Target)
 	if r.OnlyFreeSlots {
-		return inTime && c.HasFreeSlot
+		return c.HasFreeSlot && inTime || c.HasHeadroom && !c.Slow && r.beforeDeadline(c)
 	}
 	return inTime || c.HasFreeSlot && !c.Slow && r.beforeDeadline(c)
 }
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -7,18 +7,8 @@
 )
 
 const (
-	// initialServiceTime is the assumed service time before the first response.
-	initialServiceTime = 100 * time.Millisecond
-	// enoughSamples is the number of responses after which the mean service time determines the hedge delay. Until
-	// then, hedges start after initialHedgeShare of the target.
-	enoughSamples     = 8
-	initialHedgeShare = 0.6
-	// serviceTimeGain and slowdownGain are the weights of a new sample in the moving averages.
-	serviceTimeGain = 0.05
-	slowdownGain    = 0.02
-	// overdueFactor is the multiple of the mean service time after which a request counts as overdue. At normal speed,
-	// 1 in 10,000 requests takes longer if service times vary by 30 %.
-	overdueFactor = 3
+	// slowdownGain is the weight of a new sample in the moving average of the slowdown.
+	slowdownGain = 0.02
 	// estimateSteps is the number of steps into which the mean service time is divided to compare estimates. Estimates
 	// are not more precise than that, because service times vary by 30 %.
 	estimateSteps = 4
@@ -40,11 +30,10 @@
 type Service struct {
 	cfg       Config
 	upstreams map[string]*upstreamState
-	// serviceTime is the mean duration of a request on an upstream at normal speed, and deviation its mean absolute
-	// deviation.
-	serviceTime, deviation time.Duration
-	// samples counts the responses included in serviceTime, up to enoughSamples.
-	samples      int
+	// serviceTimes holds the service time of each route that had a request. The routes of one service can differ widely:
+	// with one mean for all of them, short requests would make every upstream, however slow, look fast enough for long
+	// ones.
+	serviceTimes map[string]*serviceTime
 	meanSlowdown float64
 	// reportsSlowdown reports whether upstreams report their slowdown.
 	reportsSlowdown bool
@@ -56,7 +45,7 @@
 
 // New returns a service without upstreams.
 func New() *Service {
-	return &Service{upstreams: make(map[string]*upstreamState), serviceTime: initialServiceTime, deviation: initialServiceTime / 4, meanSlowdown: 1}
+	return &Service{upstreams: make(map[string]*upstreamState), serviceTimes: make(map[string]*serviceTime), meanSlowdown: 1}
 }
 
 // Configure replaces the configuration.
@@ -83,11 +72,31 @@
 	s.upstreams = next
 }
 
+// RetainRoutes drops the service times of all other routes.
+func (s *Service) RetainRoutes(exists func(route string) bool) {
+	for route := range s.serviceTimes {
+		if !exists(route) {
+			delete(s.serviceTimes, route)
+		}
+	}
+}
+
+// serviceTime returns the service time of the route of a request.
+func (s *Service) serviceTime(r Requirements) *serviceTime {
+	t := s.serviceTimes[r.Route]
+	if t == nil {
+		t = newServiceTime(r.LatencyTarget)
+		s.serviceTimes[r.Route] = t
+	}
+	return t
+}
+
 // Rank returns the upstreams that may get a request now, best first. Suspect upstreams come last. Among the others,
 // good enough ones of the local zone come first. Within these groups, the estimate in steps decides, then the local
 // zone, then the affinity. The result is valid until the next call.
 func (s *Service) Rank(r Requirements, now time.Time) []Candidate {
-	step := max(s.serviceTime/estimateSteps, time.Millisecond)
+	mean := s.serviceTime(r).mean
+	step := max(mean/estimateSteps, time.Millisecond)
 	s.candidates, s.sortKeys = s.candidates[:0], s.sortKeys[:0]
 	for _, u := range s.upstreams {
 		if r.excludes(u.ID) || u.addressReassigned || now.Before(u.backoffUntil) {
@@ -98,13 +107,13 @@
 			continue
 		}
 		c := Candidate{
-			ID: u.ID, Address: u.Address, Zone: u.Zone, Cold: cold, Estimate: s.estimate(u, r, now),
+			ID: u.ID, Address: u.Address, Zone: u.Zone, Cold: cold, Estimate: s.estimate(u, mean, r, now),
 			Load: u.load, Age: s.loadAge(u, now), Suspect: u.suspect(now), HasFreeSlot: u.occupied(now) < u.slots(),
 			NormalSpeed: u.normalSpeed(now), Slow: u.slow(now),
 			Verified: cold || !s.cfg.VerifyWarm || now.Sub(u.probedAt) <= verifiedFor,
 		}
 		c.HasHeadroom = u.hasHeadroom(now)
-		c.NearMeanServiceTime = float64(c.Estimate-u.roundTrip) <= nearMeanFactor*float64(s.serviceTime)
+		c.NearMeanServiceTime = float64(c.Estimate-u.roundTrip) <= nearMeanFactor*float64(mean)
 		s.sortKeys = append(s.sortKeys, r.sortKey(&c, step, u.Affinity, len(s.candidates)))
 		s.candidates = append(s.candidates, c)
 	}
@@ -128,10 +137,10 @@
 	return now.Sub(u.loadAt)
 }
 
-// estimate returns the expected response time of a request sent now.
-func (s *Service) estimate(u *upstreamState, r Requirements, now time.Time) time.Duration {
+// estimate returns the expected response time of a request sent now. mean is the service time of its route.
+func (s *Service) estimate(u *upstreamState, mean time.Duration, r Requirements, now time.Time) time.Duration {
 	slots, occupied := u.slots(), u.occupied(now)
-	estimate := float64(s.serviceTime) * u.slowdown(now, s.meanSlowdown)
+	estimate := float64(mean) * u.slowdown(now, s.meanSlowdown)
 	if u.cold(now) {
 		estimate *= coldFactor
 	}
@@ -186,29 +195,14 @@
 	}
 }
 
-// RecordServiceTime updates the mean service time with the duration of a request. If upstreams report their slowdown,
-// requests count only if a current load showed normal speed when they were sent. When the response arrives, the last
-// known load may be as old as the request, and no longer shows the speed at which it ran.
-func (s *Service) RecordServiceTime(c Candidate, duration time.Duration) {
+// RecordServiceTime updates the service time of a route with the duration of a request. If upstreams report their
+// slowdown, requests count only if a current load showed normal speed when they were sent. When the response arrives, the
+// last known load may be as old as the request, and no longer shows the speed at which it ran.
+func (s *Service) RecordServiceTime(r Requirements, c Candidate, duration time.Duration) {
 	if s.reportsSlowdown && !c.NormalSpeed {
 		return
 	}
-	sample := float64(duration)
-	if s.samples < enoughSamples {
-		s.samples++
-	}
-	// The first samples have equal weight: a gateway of a large deployment gets few responses, and would otherwise
-	// hedge too early for a long time.
-	gain := max(serviceTimeGain, 1/float64(s.samples))
-	if s.samples > 1 {
-		sample = min(sample, 4*float64(s.serviceTime)) // limits the effect of one outlier
-	}
-	difference := sample - float64(s.serviceTime)
-	s.serviceTime += time.Duration(gain * difference)
-	if difference < 0 {
-		difference = -difference
-	}
-	s.deviation += time.Duration(gain * (difference - float64(s.deviation)))
+	s.serviceTime(r).record(duration)
 }
 
 // RecordLoad records the load that an upstream reported.
@@ -271,24 +265,15 @@
 	u.backoffUntil = now.Add(u.backoff)
 }
 
-// HedgeDelay returns the time after which a request without a response is hedged. Nearly all responses of upstreams at
-// normal speed arrive earlier, and a hedge sent at that time can still get a response within target.
-func (s *Service) HedgeDelay(target time.Duration) time.Duration {
-	if s.samples < enoughSamples && target > 0 {
-		return time.Duration(initialHedgeShare * float64(target))
-	}
-	normal := s.serviceTime + 3*s.deviation
-	if latest := target - s.serviceTime - s.deviation; target > 0 && latest > s.serviceTime+s.deviation {
-		return min(normal, latest)
-	}
-	return normal
+// HedgeDelay returns the time after which a request without a response is hedged.
+func (s *Service) HedgeDelay(r Requirements) time.Duration {
+	return s.serviceTime(r).hedgeDelay(r.Target)
 }
 
-// OverdueDelay returns the time within which an upstream at normal speed should have responded to any request with this
-// target. It is at least target, because there may be too few samples of the service time yet.
-func (s *Service) OverdueDelay(target time.Duration) time.Duration {
-	return max(overdueFactor*s.serviceTime, target)
+// OverdueDelay returns the time within which an upstream at normal speed should have responded to a request.
+func (s *Service) OverdueDelay(r Requirements) time.Duration {
+	return s.serviceTime(r).overdueDelay(r.LatencyTarget)
 }
 
 // ServiceTime returns the mean duration of a request on an upstream at normal speed.
-func (s *Service) ServiceTime() time.Duration { return s.serviceTime }
+func (s *Service) ServiceTime(r Requirements) time.Duration { return s.serviceTime(r).mean }
--- a/balancing/service_test.go
+++ b/balancing/service_test.go
@@ -179,13 +179,14 @@
 	s.SetUpstreams([]Upstream{{ID: "a", Slots: 3}}, now)
 	random := rand.New(rand.NewPCG(1, 2))
 	const serviceTime, target = 260 * time.Millisecond, 600 * time.Millisecond
-	is.True(s.HedgeDelay(target) > serviceTime)
+	r := Requirements{Route: "r", LatencyTarget: target, Target: target}
+	is.True(s.HedgeDelay(r) > serviceTime)
 	for range 12 {
 		took := time.Duration((0.8 + 0.4*random.Float64()) * float64(serviceTime))
-		s.RecordServiceTime(Candidate{ID: "a"}, took)
-		is.True(s.HedgeDelay(target) > serviceTime)
+		s.RecordServiceTime(r, Candidate{ID: "a"}, took)
+		is.True(s.HedgeDelay(r) > serviceTime)
 	}
-	is.True(s.ServiceTime() > serviceTime*9/10 && s.ServiceTime() < serviceTime*11/10)
+	is.True(s.ServiceTime(r) > serviceTime*9/10 && s.ServiceTime(r) < serviceTime*11/10)
 }
 
 // Guards against a mean service time that is too small, so that hedges start too early. A response must be classified
@@ -200,14 +201,15 @@
 		s.RecordLoad("b", Load{Slots: 3, Slowdown: 7}, now)
 	}
 	const serviceTime = 260 * time.Millisecond
+	r := Requirements{Zone: "z"}
 	for range 20 {
-		for _, c := range s.Rank(Requirements{Zone: "z"}, now) {
+		for _, c := range s.Rank(r, now) {
 			took := serviceTime
 			if c.ID == "b" {
 				took = 7 * serviceTime
 			}
-			s.RecordServiceTime(c, took)
+			s.RecordServiceTime(r, c, took)
 		}
 	}
-	is.Equal(s.ServiceTime().Round(time.Millisecond), serviceTime)
+	is.Equal(s.ServiceTime(r).Round(time.Millisecond), serviceTime)
 }
--- a/balancing/simulation_test.go
+++ b/balancing/simulation_test.go
@@ -52,6 +52,9 @@
 	serviceTime time.Duration
 	gateway     int
 	upstream    *simulatedUpstream
+	// requirements are those with which the upstream was chosen.
+	requirements Requirements
+	short        bool
 	// chosen is the candidate as it was when the gateway sent the job.
 	chosen Candidate
 	ends   time.Duration
@@ -104,8 +107,16 @@
 	affinity bool
 	// refuseLate refuses requests that no upstream would serve in time.
 	refuseLate bool
+	// shortShare is the share of additional requests of another route that take shortTime. They do not count in the
+	// result.
+	shortShare float64
+	// oneServiceTime selects the baseline with one mean service time for all routes of the service.
+	oneServiceTime bool
 }
 
+// shortTime is the service time of the route with short requests.
+const shortTime = 2 * time.Millisecond
+
 // result counts requests by outcome, as seen by the clients.
 type result struct {
 	requests, inTime, refused, failed int
@@ -183,7 +194,7 @@
 			}
 			services[j.gateway].End(j.upstream.id, outcome, now)
 			if outcome == Succeeded {
-				services[j.gateway].RecordServiceTime(j.chosen, took)
+				services[j.gateway].RecordServiceTime(j.requirements, j.chosen, took)
 			}
 			j.upstream.running--
 			if len(j.upstream.queue) > 0 {
@@ -192,7 +203,7 @@
 				start(next, j.ends)
 			}
 			services[j.gateway].RecordLoad(j.upstream.id, j.upstream.load(j.ends), now)
-			if outcome == Succeeded && took <= s.target {
+			if outcome == Succeeded && took <= s.target && !j.short {
 				r.inTime++
 			}
 		}
@@ -222,14 +233,23 @@
 		}
 		connected[key] = at + idleLimit
 	}
-	requirements := Requirements{Zone: "z", Target: s.target, TimeLeft: 5 * s.target}
+	long := Requirements{Zone: "z", Route: "long", LatencyTarget: s.target, Target: s.target, TimeLeft: 5 * s.target}
 	for at := time.Duration(0); at < s.duration; at += time.Duration(random.ExpFloat64() / s.rate(at) * float64(time.Second)) {
 		advance(at)
 		deliverReports(at)
 		gateway := random.IntN(s.gateways)
 		service, now := services[gateway], epoch.Add(at)
+		requirements, serviceTime := long, s.serviceTime
+		short := s.shortShare > 0 && random.Float64() < s.shortShare
+		if short {
+			serviceTime = shortTime
+		} else {
+			r.requests++
+		}
+		if short && !s.oneServiceTime {
+			requirements.Route = "short"
+		}
 		ranked := service.Rank(requirements, now)
-		r.requests++
 		search := Search{Probed: make(map[string]bool), CanProbe: s.useProbes}
 		choice := requirements.Choose(ranked, search)
 		for choice.Decision == Wait && !(s.takeAcceptable && ranked[0].Fresh()) {
@@ -250,7 +270,9 @@
 			chosen = ranked[slow]
 		} else if choice.Decision != Send && !(s.takeAcceptable && ranked[0].Fresh()) {
 			if s.refuseLate {
-				r.refused++
+				if !short {
+					r.refused++
+				}
 				continue
 			}
 			chosen = ranked[0]
@@ -258,7 +280,7 @@
 		u := simulated[chosen.ID]
 		connect(gateway, u.id, at)
 		service.Begin(u.id, now)
-		j := &job{chosen: chosen, arrived: at, gateway: gateway, upstream: u, serviceTime: time.Duration((0.7 + 0.6*random.Float64()) * float64(s.serviceTime))}
+		j := &job{chosen: chosen, arrived: at, gateway: gateway, upstream: u, requirements: requirements, short: short, serviceTime: time.Duration((0.7 + 0.6*random.Float64()) * float64(serviceTime))}
 		sent = append(sent, j)
 	}
 	advance(1 << 62)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -19,11 +19,12 @@
 
 // attempt is one attempt to send a call's request to an upstream.
 type attempt struct {
-	call      *call
-	candidate balancing.Candidate
-	ctx       context.Context
-	cancel    context.CancelFunc
-	startedAt time.Time
+	call         *call
+	requirements balancing.Requirements // with which the candidate was chosen
+	candidate    balancing.Candidate
+	ctx          context.Context
+	cancel       context.CancelFunc
+	startedAt    time.Time
 
 	resp          *http.Response
 	buffered      []byte // the body, or only its beginning if fullyBuffered is false
@@ -40,8 +41,8 @@
 
 // newAttempt returns an attempt to send the request to the candidate. Its context does not end with ctx, because the rest
 // of a long response is read after call.run has returned and ended ctx.
-func newAttempt(ctx context.Context, c *call, candidate balancing.Candidate) *attempt {
-	a := &attempt{call: c, candidate: candidate, startedAt: time.Now()}
+func newAttempt(ctx context.Context, c *call, r balancing.Requirements, candidate balancing.Candidate) *attempt {
+	a := &attempt{call: c, requirements: r, candidate: candidate, startedAt: time.Now()}
 	a.ctx, a.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	return a
 }
@@ -55,7 +56,7 @@
 	a.call.service.mu.Lock()
 	a.call.service.balancer.End(a.candidate.ID, outcome, now)
 	if outcome == balancing.Succeeded {
-		a.call.service.balancer.RecordServiceTime(a.candidate, now.Sub(a.startedAt))
+		a.call.service.balancer.RecordServiceTime(a.requirements, a.candidate, now.Sub(a.startedAt))
 	}
 	if a.resp != nil {
 		if load, ok := a.call.g.cfg.Protocol.Load(a.resp.Header); ok {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -41,7 +41,7 @@
 
 func (c *call) requirements() balancing.Requirements {
 	return balancing.Requirements{
-		Zone: c.g.cfg.Zone, Target: c.target() - time.Since(c.arrived), TimeLeft: c.timeLeft(),
+		Zone: c.g.cfg.Zone, Route: c.route.Name, LatencyTarget: c.target(), Target: c.target() - time.Since(c.arrived), TimeLeft: c.timeLeft(),
 		Large: c.route.Kind == routing.Download, Exclude: c.tried, OnlyFreeSlots: c.attempts > 0,
 	}
 }
@@ -71,6 +71,7 @@
 	hedgeAfter, overdueAfter := c.timerDelays()
 	hedge, overdue := time.NewTimer(hedgeAfter), time.NewTimer(overdueAfter)
 	defer hedge.Stop()
+	hedgePause := pollInterval
 	defer overdue.Stop()
 	for len(running) > 0 {
 		select {
@@ -92,6 +93,10 @@
 		case <-hedge.C:
 			if next, ok := c.hedge(ctx, results); ok {
 				running = append(running, next)
+			} else if c.repeatable() && c.attempts < c.route.MaxAttempts {
+				// No upstream had capacity, or the retry budget was used up. Either may change while the request waits.
+				hedgePause = min(2*hedgePause, maxPollInterval)
+				hedge.Reset(hedgePause)
 			}
 		case <-overdue.C:
 			go first.checkOverdue()
@@ -138,12 +143,13 @@
 func (c *call) startAttempt(ctx context.Context, results chan<- *attempt, wait bool) (*attempt, balancing.Decision) {
 	until := c.arrived.Add(time.Duration(upstreamWaitShare * float64(c.target())))
 	for pause := pollInterval; ; {
-		candidate, probed, decision := c.service.pick(ctx, c.requirements())
+		r := c.requirements()
+		candidate, probed, decision := c.service.pick(ctx, r)
 		c.probed += probed
 		if decision == balancing.Send {
 			c.attempts++
 			c.tried = append(c.tried, candidate.ID)
-			a := newAttempt(ctx, c, candidate)
+			a := newAttempt(ctx, c, r, candidate)
 			go a.run(results)
 			return a, balancing.Send
 		}
@@ -208,7 +214,7 @@
 func (c *call) minimumTimeLeft() time.Duration {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	return c.service.balancer.ServiceTime() / 2
+	return c.service.balancer.ServiceTime(c.requirements()) / 2
 }
 
 // timerDelays returns the time after which the request is hedged, and the time after which its first attempt is
@@ -216,8 +222,8 @@
 func (c *call) timerDelays() (hedgeAfter, overdueAfter time.Duration) {
 	c.service.mu.Lock()
 	defer c.service.mu.Unlock()
-	b := c.service.balancer
-	return b.HedgeDelay(c.target() - time.Since(c.arrived)), b.OverdueDelay(c.target())
+	b, r := c.service.balancer, c.requirements()
+	return b.HedgeDelay(r), b.OverdueDelay(r)
 }
 
 // hedge sends the request to a second upstream because the first one takes unusually long.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -256,6 +257,55 @@
 	is.Equal(a.requestCount()+b.requestCount(), 2)
 }
 
+// Guards against a request that stays at an unresponsive upstream because the other one was full when the request was
+// to be hedged, although that one has capacity soon after.
+func TestHedgeIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	var a, b *fakeUpstream
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	respond := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			a.running.Store(3)
+			b.running.Store(3)
+			time.AfterFunc(1500*time.Millisecond, func() {
+				a.running.Store(0)
+				b.running.Store(0)
+			})
+			hang(w, r)
+		default:
+			succeed(w, r)
+		}
+	}
+	a, b = newUpstream(t, "a", respond), newUpstream(t, "b", respond)
+	w := send(t, newGateway(t, clusterState(a.entry(), b.entry())), "/idempotent/1", nil)
+	is.Equal(w.Code, 200)
+	is.Equal(a.requestCount()+b.requestCount(), 2)
+}
+
+// Guards against the state of services and routes that accumulates over many changes of the configuration.
+func TestStateOfRemovedServicesAndRoutesIsDropped(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, "a", succeed)
+	state := clusterState(u.entry())
+	g := newGateway(t, state)
+	is.Equal(send(t, g, "/idempotent/1", nil).Code, 200)
+	for i := range 20 {
+		next := clusterState(u.entry())
+		next.View.Config.Version = uint64(i + 2)
+		name := fmt.Sprint("s", i)
+		next.View.Config.Services[0].Name = name
+		next.Upstreams[0].Service = name
+		for j := range next.View.Config.Routes {
+			next.View.Config.Routes[j].Service = name
+		}
+		g.Update(next, time.Now())
+		is.Equal(send(t, g, "/idempotent/1", nil).Code, 200)
+	}
+	is.Equal(len(g.services), 1)
+}
+
 // Guards against refusing requests as unknown before there is a configuration, and against refusing valid requests
 // afterwards.
 func TestRoutes(t *testing.T) {
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -96,6 +96,22 @@
 		}
 		s.update(c, byService[c.Name], max(1, len(state.Gateways)), now)
 	}
+	g.dropRemovedServices(state.View.Config)
+}
+
+// dropRemovedServices releases the state of services that the configuration no longer has. Requests in flight keep
+// theirs.
+func (g *Gateway) dropRemovedServices(config *routing.Config) {
+	configured := make(map[string]bool, len(config.Services))
+	for i := range config.Services {
+		configured[config.Services[i].Name] = true
+	}
+	for name, s := range g.services {
+		if !configured[name] {
+			s.close()
+			delete(g.services, name)
+		}
+	}
 }
 
 func (g *Gateway) updateRoutes(view *routingstate.View) {
@@ -111,11 +127,17 @@
 	if config.maxBody <= 0 {
 		config.maxBody = defaultMaxBody
 	}
+	names := make(map[string]bool, len(view.Config.Routes))
 	for i := range view.Config.Routes {
-		if r := &view.Config.Routes[i]; len(r.Split) > 0 {
+		r := &view.Config.Routes[i]
+		names[r.Name] = true
+		if len(r.Split) > 0 {
 			config.splitters[r] = routing.NewSplitter(r)
 		}
 	}
+	for _, s := range g.services {
+		s.retainRoutes(names)
+	}
 	g.routes.Store(config)
 }
 
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	warmup   int  // ms, sent in health responses
 	omitLoad bool // does not report its load
 	respond  http.HandlerFunc
+	running  atomic.Int64 // reported as the number of running requests
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -75,7 +77,7 @@
 // ServeHTTP implements http.Handler.
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !u.omitLoad {
-		w.Header().Set(testLoad, "0")
+		w.Header().Set(testLoad, strconv.FormatInt(u.running.Load(), 10))
 	}
 	if r.URL.Path == "/health" {
 		w.Header().Set(testUpstream, u.id)
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -36,7 +36,7 @@
 		{resultcode.ControlUnavailable, "/once/1", succeed, nil, func(state *ClusterState) { state.View.Config = nil }, "config_version attempts ms"},
 		{resultcode.QueueFull, "/once/1", succeed, func(r *http.Request) { r.Header.Set(testDeadline, "60") }, func(state *ClusterState) {
 			for i := range state.View.Config.Routes {
-				state.View.Config.Routes[i].TargetLatencyMillis = 10 // less than any estimate
+				state.View.Config.Routes[i].TargetLatencyMillis = 0 // the service time assumed without a target exceeds the deadline
 			}
 		}, rejected},
 		{resultcode.DeadlineBeforeStart, "/once/1", succeed, func(r *http.Request) { r.Header.Set(testDeadline, "0") }, nil, common},
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// retainRoutes drops the state of all other routes.
+func (s *service) retainRoutes(names map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.RetainRoutes(func(route string) bool { return names[route] })
+}
+
+// close closes the idle connections. Busy ones are closed at the end of their exchange.
+func (s *service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, pool := range s.pools {
+		pool.Close()
+		delete(s.pools, address)
+	}
+}
+
 // configure passes the configuration to the balancer. The caller holds mu.
 func (s *service) configure() {
 	s.balancer.Configure(balancing.Config{
