Responses without an end, and requests on their way at a planned stop

- Shutdown closed the listener and idle connections at once.
Connections in the backlog and requests on their way on idle ones were reset without an answer (TestShutdownServesRequestsOnTheirWay).
Connections are now accepted for 20 ms more, and an idle connection waits 100 ms for one last request.
- A late second response to a request was taken for the response to a health check on the same connection (TestHealthCheckRejectsResponseToRequest): a response with an id is rejected if the request carried none.
A body without a length was forwarded for ever and its upstream counted as good; it is now limited to 64 MiB, then the client's connection is aborted and the upstream is used last.
A health response with an endless body counted as healthy; it now counts as unreachable.

--- a/balancing/service.go
+++ b/balancing/service.go
@@ -195,6 +195,13 @@
 	}
 }
 
+// RecordFailure records a failure of an upstream after the end of the request.
+func (s *Service) RecordFailure(id string, now time.Time) {
+	if u := s.upstreams[id]; u != nil {
+		u.recordFailure(now)
+	}
+}
+
 // RecordServiceTime updates the service time of a route with the duration of a request. If upstreams report their
 // slowdown, requests count only if a current load showed normal speed when they were sent. When the response arrives, the
 // last known load may be as old as the request, and no longer shows the speed at which it ran.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -157,6 +157,15 @@
 	return balancing.Succeeded
 }
 
+// recordBrokenBody records that the upstream did not complete a response whose beginning counted as a success.
+func (a *attempt) recordBrokenBody() {
+	s, now := a.call.service, time.Now()
+	s.mu.Lock()
+	s.balancer.RecordFailure(a.candidate.ID, now)
+	s.mu.Unlock()
+	s.failures.record(a.candidate.ID, true, now)
+}
+
 // checkOverdue probes the upstream of an attempt that takes unusually long. If the upstream was at normal speed when
 // the request was sent and still is, and the attempt has no response yet, the upstream drops or stalls requests. This
 // counts as much as a failure reported by another gateway, and is reported to the other gateways. An attempt sent in a
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -49,6 +49,9 @@
 	// maxBufferedResponse is the length in bytes up to which a response is buffered before it is forwarded, so that the
 	// request can be retried if the response is truncated.
 	maxBufferedResponse = 256 << 10
+	// maxUnframedResponse limits the length of a response that does not declare one, in bytes, because a faulty upstream
+	// may send without end.
+	maxUnframedResponse = 64 << 20
 	// slowLink is the link speed in bit/s below which long responses are paced. At 50 Mbit/s a download of 90 KB takes
 	// 14 ms.
 	slowLink = 50e6
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -131,7 +131,11 @@
 	}
 	stop := context.AfterFunc(c.r.Context(), a.cancel)
 	defer stop()
-	if err := c.g.pacer.copy(a.ctx, c.w, a.resp.Body); err != nil {
+	body := newResponseReader(a.resp, len(a.buffered))
+	if err := c.g.pacer.copy(a.ctx, c.w, body); err != nil {
+		if body.err != nil && c.r.Context().Err() == nil {
+			a.recordBrokenBody()
+		}
 		c.g.cfg.Log.Warn("response aborted", zap.String("request", c.id), zap.String("upstream", a.candidate.ID), zap.Error(err))
 		panic(http.ErrAbortHandler) // so that the client does not take the response for complete
 	}
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -24,6 +24,8 @@
 	maxHealthBody = 4 << 10
 )
 
+var errHealthBodyTooLong = errors.New("the body of the health response exceeds its limit")
+
 // probeTimeoutOn returns probeTimeout plus the queueing delay on a link of the given speed. Zero means that the speed
 // is unknown.
 func probeTimeoutOn(linkBitsPerSecond float64) time.Duration {
@@ -93,7 +95,10 @@
 	if err != nil {
 		return nil, 0, conn.Reused(), err
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody+1))
+	if n > maxHealthBody {
+		err = errHealthBodyTooLong
+	}
 	if closeErr := resp.Body.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -18,6 +18,8 @@
 	maxPending = 32
 	// writeTimeout limits the time to write a response, so that a client that does not read cannot keep the connection open.
 	writeTimeout = 20 * time.Second
+	// lastRequestTime is how long an idle connection waits for a request that its client sent just before a shutdown.
+	lastRequestTime = 100 * time.Millisecond
 	// lingerTimeout limits how long further data is read after the last response. Closing a connection with unread data
 	// resets it, and the client could lose the response.
 	lingerTimeout = 500 * time.Millisecond
@@ -37,6 +39,8 @@
 
 	mu        sync.Mutex
 	accepting bool          // further requests are accepted
+	draining  bool          // at most one more request is accepted, and only if it arrives soon
+	reading   bool          // the first byte of a request has arrived
 	pending   int           // accepted requests whose response is not complete
 	last      *exchange     // most recently accepted request
 	completed chan struct{} // signals that a response was completed
@@ -96,13 +100,7 @@
 // read reads one request including its body.
 func (c *conn) read(turn <-chan struct{}) (*http.Request, error) {
 	s := c.server
-	if err := c.netConn.SetReadDeadline(time.Now().Add(s.IdleTimeout)); err != nil {
-		return nil, err
-	}
-	if _, err := c.reader.Peek(1); err != nil {
-		return nil, err
-	}
-	if err := c.netConn.SetReadDeadline(time.Now().Add(s.ReadTimeout)); err != nil {
+	if err := c.awaitRequest(); err != nil {
 		return nil, err
 	}
 	c.limit.remaining = s.MaxHeaderBytes
@@ -120,6 +118,32 @@
 	return r, c.readBody(r, turn)
 }
 
+// awaitRequest waits for the first byte of a request and sets the deadline for the rest.
+func (c *conn) awaitRequest() error {
+	c.mu.Lock()
+	err := c.setIdleDeadline()
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	return c.netConn.SetReadDeadline(time.Now().Add(c.server.ReadTimeout))
+}
+
+// setIdleDeadline sets the deadline for the first byte of the next request. The caller holds mu.
+func (c *conn) setIdleDeadline() error {
+	wait := c.server.IdleTimeout
+	if c.draining {
+		wait = min(wait, lastRequestTime)
+	}
+	return c.netConn.SetReadDeadline(time.Now().Add(wait))
+}
+
 func (c *conn) readBody(r *http.Request, turn <-chan struct{}) error {
 	if r.Header.Get("Expect") == "100-continue" {
 		<-turn // an interim response must not overtake earlier responses
@@ -145,9 +169,10 @@
 	if !c.accepting {
 		return nil
 	}
-	if r.Close || !r.ProtoAtLeast(1, 1) {
+	if r.Close || !r.ProtoAtLeast(1, 1) || c.draining {
 		c.accepting = false
 	}
+	c.reading = false
 	c.pending++
 	c.last = &exchange{conn: c, request: r.WithContext(c.ctx), turn: turn, done: make(chan struct{})}
 	return c.last
@@ -156,13 +181,13 @@
 // handleReadError handles the end of reading: the client closed the connection or sent an invalid request.
 func (c *conn) handleReadError(err error, turn <-chan struct{}) {
 	c.mu.Lock()
-	wasAccepting := c.accepting
+	ended := !c.accepting || c.draining && !c.reading
 	c.accepting = false
 	c.mu.Unlock()
 	status := 0
 	var bodyTooLarge *http.MaxBytesError
 	switch {
-	case !wasAccepting:
+	case ended:
 		return // drain or a response with Connection: close ended the read
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
@@ -241,14 +266,16 @@
 	c.netConn.Close()
 }
 
-// drain stops accepting requests. If none is pending, the connection is closed.
+// drain stops accepting requests. An idle connection first waits for a request that may be on its way; it is closed if
+// none arrives.
 func (c *conn) drain() {
 	c.mu.Lock()
-	c.accepting = false
-	idle := c.pending == 0
-	c.mu.Unlock()
-	if idle {
-		c.interruptRead()
+	defer c.mu.Unlock()
+	c.draining = true
+	if c.pending > 0 {
+		c.accepting = false
+	} else if !c.reading {
+		_ = c.setIdleDeadline() // an error means that the connection is closed already
 	}
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -30,10 +30,15 @@
 	mu       sync.Mutex
 	closing  bool
 	listener net.Listener
+	stopped  chan struct{} // closed when Serve accepts no more connections
 	conns    map[*conn]struct{}
 	active   sync.WaitGroup
 }
 
+// backlogTime is how long connections are still accepted after the start of a shutdown. Closing a listener resets the
+// connections in its backlog, whose clients may already have sent a request.
+const backlogTime = 20 * time.Millisecond
+
 // Serve accepts connections until Shutdown is called or the listener fails. After Shutdown it returns http.ErrServerClosed.
 // It must be called only once.
 func (s *Server) Serve(listener net.Listener) error {
@@ -43,8 +48,10 @@
 		listener.Close()
 		return http.ErrServerClosed
 	}
-	s.listener, s.conns = listener, make(map[*conn]struct{})
+	s.listener, s.conns, s.stopped = listener, make(map[*conn]struct{}), make(chan struct{})
 	s.mu.Unlock()
+	defer close(s.stopped)
+	defer listener.Close()
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -57,10 +64,7 @@
 			return errors.Wrap(err, "accept")
 		}
 		c := newConn(s, raw)
-		if !s.add(c) {
-			raw.Close()
-			continue
-		}
+		s.add(c)
 		go func() {
 			defer s.remove(c)
 			c.serve()
@@ -89,15 +93,12 @@
 	return s.closing
 }
 
-func (s *Server) add(c *conn) bool {
+func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closing {
-		return false
-	}
+	c.draining = s.closing // c is not shared yet
 	s.conns[c] = struct{}{}
 	s.active.Add(1)
-	return true
 }
 
 func (s *Server) remove(c *conn) {
@@ -114,6 +115,9 @@
 	err := s.Shutdown(canceled)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close() // an error means that it is closed already
+	}
 	for c := range s.conns {
 		c.netConn.Close()
 	}
@@ -123,27 +127,31 @@
 	return err
 }
 
-// Shutdown stops accepting connections and requests. It returns once every accepted request has its response, or with the
-// error of ctx.
+// Shutdown stops accepting connections and requests. Requests that clients have sent by then are still accepted. It
+// returns once every accepted request has its response, or with the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	var err error
 	if s.listener != nil && !s.closing {
-		err = s.listener.Close()
+		err = stopAccepting(s.listener)
 	}
 	s.closing = true
 	conns := make([]*conn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
+	stopped := s.stopped
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.drain()
 	}
 	done := make(chan struct{})
 	go func() {
+		defer close(done)
+		if stopped != nil {
+			<-stopped
+		}
 		s.active.Wait()
-		close(done)
 	}()
 	select {
 	case <-done:
@@ -152,3 +160,11 @@
 		return ctx.Err()
 	}
 }
+
+// stopAccepting makes Accept fail after backlogTime, or immediately if the listener has no deadlines.
+func stopAccepting(l net.Listener) error {
+	if withDeadline, ok := l.(interface{ SetDeadline(time.Time) error }); ok {
+		return withDeadline.SetDeadline(time.Now().Add(backlogTime))
+	}
+	return l.Close()
+}
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -233,6 +234,67 @@
 	is.NoErr(<-done)
 }
 
+// heldListener lets no connection be accepted until it is released.
+type heldListener struct {
+	*net.TCPListener
+	released chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
+// Guards against a shutdown that resets connections whose clients have already sent a request: one that waits in the
+// listener's backlog, and an idle one whose request is on its way.
+func TestShutdownServesRequestsOnTheirWay(t *testing.T) {
+	for _, backlog := range []bool{true, false} {
+		t.Run(fmt.Sprint("backlog=", backlog), func(t *testing.T) {
+			is := is.New(t)
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			held := &heldListener{inner.(*net.TCPListener), make(chan struct{})}
+			s := &Server{
+				Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "answer") }),
+				IdleTimeout: time.Minute, ReadTimeout: time.Minute, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 100,
+			}
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(held) }()
+			c, err := net.Dial("tcp", inner.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			in := bufio.NewReader(c)
+			if backlog {
+				_, err = io.WriteString(c, get("/"))
+				is.NoErr(err)
+			} else {
+				close(held.released)
+				_, err = io.WriteString(c, get("/"))
+				is.NoErr(err)
+				readResponse(t, in)
+			}
+			done := make(chan error, 1)
+			go func() { done <- s.Shutdown(t.Context()) }()
+			for !s.isClosing() {
+				time.Sleep(time.Millisecond)
+			}
+			if backlog {
+				close(held.released)
+			} else {
+				_, err = io.WriteString(c, get("/"))
+				is.NoErr(err)
+			}
+			status, body, closes := readResponse(t, in)
+			is.Equal(status, http.StatusOK)
+			is.Equal(body, "answer")
+			is.True(closes)
+			c.Close()
+			is.NoErr(<-done)
+			is.Equal(<-served, http.ErrServerClosed)
+		})
+	}
+}
+
 // Guards against responses from which a client cannot determine the length or the absence of the body.
 func TestFraming(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -78,12 +78,13 @@
 	return nil, errors.New("too many interim responses")
 }
 
-// checkHeader rejects a response to another request. Unless the options allow it, it also rejects a response whose body is
+// checkHeader rejects a response to another request, also if this request carries no id: a health check can otherwise be
+// answered by a late second response to an earlier request. Unless the options allow it, it also rejects a response whose body is
 // delimited only by the close of the connection: behind some middleboxes a broken connection looks the same.
 func (x *exchange) checkHeader(resp *http.Response) error {
 	opts := &x.transport.pool.opts
 	want, got := x.request.Header.Get(opts.RequestIDHeader), resp.Header.Get(opts.RequestIDHeader)
-	if want != "" && got != want && (got != "" || opts.RequireEcho) {
+	if got != want && (got != "" || opts.RequireEcho) {
 		return newError(ErrMismatchedResponse, errors.Errorf("request id %q, want %q", got, want))
 	}
 	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
--- a/internal/upstreamconn/invariant_test.go
+++ b/internal/upstreamconn/invariant_test.go
@@ -256,3 +256,15 @@
 		})
 	}
 }
+
+// Guards against taking a late second response to a request for the response to a health check, which carries no id.
+func TestHealthCheckRejectsResponseToRequest(t *testing.T) {
+	is := is.New(t)
+	u := startUpstream(t, respondWith("HTTP/1.1 200 OK\r\n"+DefaultRequestIDHeader+": r0\r\nContent-Length: 5\r\n\r\nfirst", false))
+	p := NewPool(u.listener.Addr().String(), Options{RequireEcho: true})
+	defer p.Close()
+	r, err := http.NewRequest("GET", "http://"+u.listener.Addr().String()+"/health", nil)
+	is.NoErr(err)
+	_, _, err = call(t.Context(), p, r)
+	is.True(errors.Is(err, ErrMismatchedResponse))
+}
