cluster, placement: recover from a loss of power without work that grows with VMs x VMs

The VMs start at 30.95 to 31.2 s and have their first links at 31.38 s, but half of them are ready only at 32.3 s and the last at 35 s. In between: - a replica encoded each change of another process once for each of 317 subscribers, about 100,000 times in the first second; - a process learned the index of the view from the first full update, and asked one replica after the other for it, 1 s each; - it logged one line for each of 719 upstreams, of which 585 were dropped, and others with them; - it computed the owner of each upstream among 317 VMs, 9 ms of processor time (56 ms on 0.16 cores), though only cold ones need it.

TestSubscribersShareChanges and TestManyChangedUpstreamsAreLoggedInOneLine fail without it.

--- a/balancing/service.go
+++ b/balancing/service.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		cold := u.cold(now)
-		if cold && s.cfg.ColdPerSecond > 0 && (!u.ColdOwner || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
+		if cold && s.cfg.ColdPerSecond > 0 && (!u.ownedWhileCold() || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
 			continue
 		}
 		c := Candidate{
--- a/balancing/upstream_state.go
+++ b/balancing/upstream_state.go
@@ -138,6 +138,8 @@
 
 func (u *upstreamState) cold(now time.Time) bool { return now.Before(u.ColdUntil) }
 
+func (u *upstreamState) ownedWhileCold() bool { return u.ColdOwner != nil && u.ColdOwner() }
+
 // refillColdTokens refills the token bucket for requests to a cold upstream and returns the available tokens.
 func (u *upstreamState) refillColdTokens(now time.Time, perSecond float64) float64 {
 	u.coldTokens = min(coldBurst, u.coldTokens+now.Sub(u.coldRefilledAt).Seconds()*perSecond)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -25,6 +25,9 @@
 	// fetchTimeout bounds the fetch of a view or a status from one process. A large view takes 100 ms on a link of 6
 	// Mbit/s.
 	fetchTimeout = time.Second
+	// viewFetchPause is the time after which a view is also fetched from another replica. After a loss of power a
+	// replica replies to all processes at once, and the fastest reply decides when this process serves again.
+	viewFetchPause = 150 * time.Millisecond
 )
 
 // Cluster holds the state of the deployment as seen by this process, and its links to other processes. It is safe for
@@ -46,6 +49,7 @@
 	advertisedIndexes map[*nodelink.Link]uint64     // index of the newest view advertised on each open link
 	dialers           map[string]context.CancelFunc // stops the reconnect loop, by peer address
 	subscribers       map[*nodelink.Link]*subscriber
+	pending           pendingChanges // not yet sent to the subscribers
 	replica           *replica
 	bootstrapped      bool // the control group is known to exist
 }
@@ -59,7 +63,7 @@
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), publishSignal: make(chan struct{}, 1), viewFetches: make(chan *nodelink.Link, 16),
 		dialed: make(map[string]*nodelink.Link), advertisedIndexes: make(map[*nodelink.Link]uint64),
-		dialers: make(map[string]context.CancelFunc), subscribers: make(map[*nodelink.Link]*subscriber),
+		dialers: make(map[string]context.CancelFunc), subscribers: make(map[*nodelink.Link]*subscriber), pending: newPendingChanges(),
 	}
 	c.self.State, c.self.Seq = roster.Starting, 1
 	c.view.Store(&routingstate.View{})
@@ -219,8 +223,11 @@
 	c.notify()
 }
 
-// fetchViews fetches newer views from the replicas that advertised them.
+// fetchViews fetches newer views from the replicas that advertised them. If a replica does not reply within
+// viewFetchPause, the next one is asked at the same time.
 func (c *Cluster) fetchViews(ctx context.Context) {
+	var fetches sync.WaitGroup
+	defer fetches.Wait()
 	for {
 		var link *nodelink.Link
 		select {
@@ -228,15 +235,24 @@
 		case <-ctx.Done():
 			return
 		}
-		if index := c.advertisedIndex(link); index != 0 && index <= c.View().Index {
+		if index := c.advertisedIndex(link); index <= c.View().Index && c.View().Index != 0 {
 			continue // already fetched from another replica
 		}
-		view, err := c.fetchView(ctx, link)
-		if err != nil {
-			c.log.Warn("failed to fetch the view", zap.String("replica", link.Remote), zap.Error(err))
-			continue
+		done := make(chan struct{})
+		fetches.Go(func() {
+			defer close(done)
+			view, err := c.fetchView(ctx, link)
+			if err != nil {
+				c.log.Warn("failed to fetch the view", zap.String("replica", link.Remote), zap.Error(err))
+				return
+			}
+			c.installView(view)
+		})
+		select {
+		case <-done:
+		case <-time.After(viewFetchPause):
+		case <-ctx.Done():
 		}
-		c.installView(view)
 	}
 }
 
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -31,6 +31,9 @@
 	self := c.self
 	c.mu.Unlock()
 	c.sendSelf(l, self)
+	if c.View().Index == 0 {
+		c.queueViewFetch(l) // does not wait for the first update, which takes longer to transfer
+	}
 	c.notify() // Connected may have changed
 	c.log.Info("replica connected", zap.String("replica", l.Remote))
 }
@@ -101,9 +104,7 @@
 			c.log.Info("process lost", zap.String("lost_vm", report.Node.Name), zap.String("reported_by", l.Remote))
 		}
 	}
-	for _, e := range u.Entries {
-		c.merge(e)
-	}
+	c.merge(u.Entries...)
 	if len(u.Failures) > 0 {
 		c.cfg.OnFailures(u.Failures)
 	}
@@ -115,10 +116,7 @@
 		c.mu.Lock()
 		c.advertisedIndexes[l] = u.ViewIndex
 		c.mu.Unlock()
-		select {
-		case c.viewFetches <- l:
-		default: // the queue is full; the queued fetches return the newest views of their replicas
-		}
+		c.queueViewFetch(l)
 	}
 	if c.nodes.Revision() != before {
 		c.notify()
@@ -138,28 +136,46 @@
 	})
 }
 
-// merge merges an announcement into the registry and queues the changed entries for all subscribers. It holds mu during
+func (c *Cluster) queueViewFetch(l *nodelink.Link) {
+	select {
+	case c.viewFetches <- l:
+	default: // the queue is full; the queued fetches return the newest views of their replicas
+	}
+}
+
+// maxLoggedEntries is the number of changed upstreams up to which each one is logged. A starting process learns of all
+// upstreams at once, and other processes have logged their changes.
+const maxLoggedEntries = 32
+
+// merge merges announcements into the registry and queues the changed entries for all subscribers. It holds mu during
 // both, so that the newer of two concurrent announcements is queued last.
-func (c *Cluster) merge(e registry.Entry) {
+func (c *Cluster) merge(entries ...registry.Entry) {
+	now := time.Now()
+	var changed []registry.Entry
 	c.mu.Lock()
-	changed := c.registry.Merge(e, time.Now())
-	for _, s := range c.subscribers {
-		for _, entry := range changed {
-			s.entries[entry.ID] = entry
+	for _, e := range entries {
+		for _, entry := range c.registry.Merge(e, now) {
+			c.pending.entries[entry.ID] = entry
+			changed = append(changed, entry)
 		}
 	}
 	if len(changed) > 0 {
 		signal(c.publishSignal)
 	}
 	c.mu.Unlock()
+	if len(changed) == 0 {
+		return
+	}
+	c.notify()
+	if len(changed) > maxLoggedEntries {
+		c.log.Info("upstreams changed", zap.Int("upstreams", len(changed)))
+		return
+	}
 	for _, entry := range changed {
 		c.log.Info("upstream", zap.String("upstream", entry.ID), zap.String("service", entry.Service),
 			zap.String("address", entry.Address), zap.String("zone", entry.Zone), zap.Stringer("state", entry.State),
 			zap.Int64("born", entry.Incarnation), zap.Uint64("seq", entry.Seq))
 	}
-	if len(changed) > 0 {
-		c.notify()
-	}
 }
 
 // Serve implements nodelink.Handler.
--- a/internal/cluster/registryfile.go
+++ b/internal/cluster/registryfile.go
@@ -29,9 +29,7 @@
 	if err != nil {
 		c.log.Warn("failed to load the saved upstreams", zap.Error(err))
 	}
-	for _, e := range entries {
-		c.merge(e)
-	}
+	c.merge(entries...)
 	saved := c.registry.Revision()
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -20,35 +20,48 @@
 // which it serves no requests.
 const compressionThreshold = 2 << 10
 
-// subscriber is a process that dialed this one, with the changes that were not yet sent to it. Only the newest change
-// of each process and upstream is stored, so that the memory for a subscriber that reads slowly is bounded.
+// subscriber is a process that dialed this one.
 type subscriber struct {
 	node roster.Node // zero until it has identified itself
 	// full is set if the next update is a full one: with all reports and entries, and the index of the view.
-	full        bool
-	reports     map[string]roster.Report
-	entries     map[string]registry.Entry
-	viewChanged bool
+	full bool
 	// failures are those since failuresSentAt, the time of the last failure report.
 	failures       failures
 	failuresSentAt time.Time
 }
 
-// hasPendingChanges reports whether an update is due, apart from failures, which are sent at intervals of their own.
-func (s *subscriber) hasPendingChanges() bool {
-	return s.full || len(s.reports) > 0 || len(s.entries) > 0 || s.viewChanged
+// pendingChanges are the changes since the last update. They are the same for all subscribers, so that an update is
+// encoded once for all of them: after a loss of power all processes connect at once, and each one is a change. Only the
+// newest change of each process and upstream is stored.
+type pendingChanges struct {
+	reports     map[string]roster.Report
+	entries     map[string]registry.Entry
+	viewChanged bool
+}
+
+func newPendingChanges() pendingChanges {
+	return pendingChanges{reports: make(map[string]roster.Report), entries: make(map[string]registry.Entry)}
+}
+
+func (p *pendingChanges) isEmpty() bool {
+	return len(p.reports) == 0 && len(p.entries) == 0 && !p.viewChanged
 }
 
-// clear removes the pending changes except the failures.
-func (s *subscriber) clear() {
-	s.full, s.reports, s.entries, s.viewChanged = false, make(map[string]roster.Report), make(map[string]registry.Entry), false
+// update returns the update with the changes.
+func (p *pendingChanges) update(viewIndex uint64) update {
+	u := update{ViewIndex: viewIndex}
+	for _, r := range p.reports {
+		u.Reports = append(u.Reports, r)
+	}
+	for _, e := range p.entries {
+		u.Entries = append(u.Entries, e)
+	}
+	return u
 }
 
 // subscribe adds a subscriber and queues a full update for it.
 func (c *Cluster) subscribe(l *nodelink.Link) {
-	s := &subscriber{failures: make(failures)}
-	s.clear()
-	s.full = true
+	s := &subscriber{failures: make(failures), full: true}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.subscribers[l] = s
@@ -107,9 +120,7 @@
 	if !c.nodes.Report(c.cfg.Self.PeerAddress, r, time.Now()) {
 		return
 	}
-	for _, s := range c.subscribers {
-		s.reports[r.Node.IP] = r
-	}
+	c.pending.reports[r.Node.IP] = r
 	signal(c.publishSignal)
 	c.notify()
 }
@@ -117,9 +128,7 @@
 func (c *Cluster) markViewChanged() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, s := range c.subscribers {
-		s.viewChanged = true
-	}
+	c.pending.viewChanged = true
 	signal(c.publishSignal)
 }
 
@@ -200,14 +209,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	updates := make(map[*nodelink.Link]*outgoingUpdate)
-	var full *outgoingUpdate // shared by all subscribers that need a full update
+	var full, changes *outgoingUpdate // each is shared by all subscribers that need it
+	if !c.pending.isEmpty() {
+		changes = &outgoingUpdate{update: c.pending.update(index)}
+	}
 	for l, s := range c.subscribers {
 		switch {
 		case !isReplica:
-			if !s.hasPendingChanges() {
-				continue
+			if s.full || changes != nil {
+				updates[l] = &outgoingUpdate{update: update{Replicas: replicas}}
 			}
-			updates[l] = &outgoingUpdate{update: update{Replicas: replicas}}
 		case s.full:
 			if full == nil {
 				full = &outgoingUpdate{update: c.fullUpdate(index)}
@@ -215,20 +226,16 @@
 			// It is shared and so carries no failures. Those of the subscriber stay pending for its next update.
 			updates[l] = full
 		default:
-			failed := s.takeFailures(now)
-			if !s.hasPendingChanges() && len(failed) == 0 {
-				continue
-			}
-			u := update{ViewIndex: index, Failures: failed}
-			for _, r := range s.reports {
-				u.Reports = append(u.Reports, r)
-			}
-			for _, e := range s.entries {
-				u.Entries = append(u.Entries, e)
+			if failed := s.takeFailures(now); len(failed) > 0 {
+				u := c.pending.update(index)
+				u.Failures = failed
+				updates[l] = &outgoingUpdate{update: u}
+			} else if changes != nil {
+				updates[l] = changes
 			}
-			updates[l] = &outgoingUpdate{update: u}
 		}
-		s.clear()
+		s.full = false
 	}
+	c.pending = newPendingChanges()
 	return updates
 }
--- a/internal/cluster/subscriber_test.go
+++ b/internal/cluster/subscriber_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
@@ -176,6 +177,45 @@
 	is.Equal(len(nextUpdate(c, first).Entries), 1) // only the change
 }
 
+// Guards against a replica whose work after a loss of power grows with the square of the number of processes: each one
+// that connects is a change for all others, and must be encoded once for all of them.
+func TestSubscribersShareChanges(t *testing.T) {
+	is := is.New(t)
+	c := newUnconnectedCluster(Config{})
+	c.replica = &replica{}
+	var links []*nodelink.Link
+	for i := range 50 {
+		links = append(links, &nodelink.Link{Remote: strconv.Itoa(i)})
+		(*handler)(c).Opened(links[i])
+	}
+	c.takeUpdates() // full ones
+	for i, l := range links {
+		c.identify(l, roster.Node{IP: "127.0.1." + strconv.Itoa(i), Incarnation: 1, Seq: 1})
+	}
+	updates := c.takeUpdates()
+	for _, l := range links {
+		is.Equal(len(updates[l].Reports), len(links))
+		is.True(updates[l] == updates[links[0]])
+	}
+}
+
+// Guards against a starting process that spends its time on one log line for each upstream, and displaces other lines.
+func TestManyChangedUpstreamsAreLoggedInOneLine(t *testing.T) {
+	is := is.New(t)
+	c := newUnconnectedCluster(Config{})
+	core, lines := observer.New(zap.InfoLevel)
+	c.log = zap.New(core)
+	var u update
+	for i := range 700 {
+		u.Entries = append(u.Entries, registry.Entry{ID: strconv.Itoa(i), Service: "s", Address: "10.0.0.1:" + strconv.Itoa(i), State: registry.Ready, Incarnation: 1, Seq: 1})
+	}
+	c.applyUpdate(&nodelink.Link{Remote: "127.0.0.2:1000"}, u)
+	is.Equal(lines.Len(), 1)
+	is.Equal(lines.All()[0].ContextMap()["upstreams"], int64(700))
+	c.merge(registry.Entry{ID: "1", Service: "s", State: registry.Draining, Incarnation: 1, Seq: 2})
+	is.Equal(lines.FilterMessage("upstream").Len(), 1)
+}
+
 // Guards against processes that recompute their routing because of an update that they already have from another
 // replica, or because of failure reports, which are passed to OnFailures.
 func TestRepeatedUpdatesAreNotSignalled(t *testing.T) {
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -68,22 +68,20 @@
 	}
 	g.updateRoutes(state.View)
 	byService := make(map[string][]balancing.Upstream)
-	ready := make([]registry.Entry, 0, len(state.Upstreams))
-	keys := make([]placement.Key, 0, len(state.Upstreams))
+	g.coldOwners.Update(state.Gateways)
 	for _, e := range state.Upstreams {
-		if e.State == registry.Ready && !state.View.Evacuated[e.Zone] {
-			ready = append(ready, e)
-			keys = append(keys, placement.Key{Name: e.ID, Zone: e.Zone})
+		if e.State != registry.Ready || state.View.Evacuated[e.Zone] {
+			continue
 		}
-	}
-	g.coldOwners.Update(state.Gateways, keys)
-	for i, e := range ready {
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Slots: e.Slots,
-			Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft), ColdOwner: state.Connected && g.coldOwners.Owner(keys[i]) == state.Self,
+			Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft),
+			ColdOwner: func() bool {
+				return state.Connected && g.coldOwners.Owner(placement.Key{Name: e.ID, Zone: e.Zone}) == state.Self
+			},
 		})
 	}
-	g.serviceByUpstream = make(map[string]*service, len(ready))
+	g.serviceByUpstream = make(map[string]*service, len(state.Upstreams))
 	for i := range state.View.Config.Services {
 		c := &state.View.Config.Services[i]
 		s := g.services[c.Name]
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -223,11 +223,11 @@
 }
 
 // closesAfter reports whether the connection closes after the response of x. It does if no more requests are accepted and x
-// is the last one. With closeRequested it first stops accepting requests.
+// is the last one. With closeRequested, or on a draining connection, it first stops accepting requests.
 func (c *conn) closesAfter(x *exchange, closeRequested bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if closeRequested {
+	if closeRequested || c.draining && c.last == x {
 		c.accepting = false
 	}
 	return !c.accepting && c.last == x
@@ -238,6 +238,9 @@
 	c.mu.Lock()
 	c.pending--
 	last := c.pending == 0 && !c.accepting
+	if c.draining && c.pending == 0 && c.accepting && !c.reading {
+		_ = c.setIdleDeadline() // an error means that the connection is closed already
+	}
 	c.mu.Unlock()
 	select {
 	case c.completed <- struct{}{}:
@@ -266,15 +269,13 @@
 	c.netConn.Close()
 }
 
-// drain stops accepting requests. An idle connection first waits for a request that may be on its way; it is closed if
-// none arrives.
+// drain lets the connection end after the pending requests. An idle connection first waits for a request that may be on
+// its way; it is closed if none arrives.
 func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.draining = true
-	if c.pending > 0 {
-		c.accepting = false
-	} else if !c.reading {
+	if c.pending == 0 && !c.reading {
 		_ = c.setIdleDeadline() // an error means that the connection is closed already
 	}
 }
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -78,13 +78,13 @@
 	return nil, errors.New("too many interim responses")
 }
 
-// checkHeader rejects a response to another request, also if this request carries no id: a health check can otherwise be
-// answered by a late second response to an earlier request. Unless the options allow it, it also rejects a response whose body is
+// checkHeader rejects a response to another request. With RequireEcho, this includes a response with an id to a request
+// without one: a health check can otherwise be answered by a late second response to an earlier request. Unless the options allow it, it also rejects a response whose body is
 // delimited only by the close of the connection: behind some middleboxes a broken connection looks the same.
 func (x *exchange) checkHeader(resp *http.Response) error {
 	opts := &x.transport.pool.opts
 	want, got := x.request.Header.Get(opts.RequestIDHeader), resp.Header.Get(opts.RequestIDHeader)
-	if got != want && (got != "" || opts.RequireEcho) {
+	if got != want && (opts.RequireEcho || want != "" && got != "") {
 		return newError(ErrMismatchedResponse, errors.Errorf("request id %q, want %q", got, want))
 	}
 	chunked := len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
--- a/internal/upstreamconn/options.go
+++ b/internal/upstreamconn/options.go
@@ -19,7 +19,7 @@
 	// RequestIDHeader is the name of the header with the request id, which a response may echo. Empty means
 	// DefaultRequestIDHeader.
 	RequestIDHeader string
-	// RequireEcho rejects a response without the request id. If it is false, a missing id is accepted and only a different id
+	// RequireEcho rejects a response that does not carry the same request id as the request, or none if that has none. If it is false, a missing id is accepted and only a different id
 	// is rejected. It is needed if an upstream may send a second response to a health check: that response carries no id, and
 	// may arrive in place of the response to the next request.
 	RequireEcho bool
--- a/placement/owners.go
+++ b/placement/owners.go
@@ -1,68 +1,52 @@
 package placement
 
+import "sync"
+
 // Key identifies an object that one member at a time is responsible for.
 type Key struct{ Name, Zone string }
 
 // Owners assigns each key to one member: the one with the highest rendezvous score in the key's zone, or of all members
-// if the zone has none. It updates the assignment incrementally, because recomputing it takes one step for each pair of
-// a key and a member. It is not safe for concurrent use.
+// if the zone has none. It computes an assignment when it is first asked for, because that takes one step for each
+// member, and only few keys are ever asked for between two changes of the members. It is safe for concurrent use.
 type Owners struct {
-	members map[Member]bool
-	owners  map[Key]candidate
-}
-
-// candidate is the best member found so far for a key.
-type candidate struct {
-	Member
-	score uint64
-	local bool
+	mu      sync.Mutex
+	members []Member
+	byZone  map[string][]Member
+	owners  map[Key]string // those computed since the last change of the members
 }
 
 // NewOwners returns an empty assignment.
-func NewOwners() *Owners {
-	return &Owners{members: make(map[Member]bool), owners: make(map[Key]candidate)}
-}
+func NewOwners() *Owners { return &Owners{} }
 
-// Update replaces the members and keys. A new member takes one step per key. A new key, or a key whose owner is gone,
-// takes one step per member.
-func (o *Owners) Update(members []Member, keys []Key) {
-	current := make(map[Member]bool, len(members))
-	var added []Member
+// Update replaces the members.
+func (o *Owners) Update(members []Member) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.members, o.byZone, o.owners = members, make(map[string][]Member), make(map[Key]string)
 	for _, m := range members {
-		if !o.members[m] && !current[m] {
-			added = append(added, m)
-		}
-		current[m] = true
+		o.byZone[m.Zone] = append(o.byZone[m.Zone], m)
 	}
-	next := make(map[Key]candidate, len(keys))
-	for _, k := range keys {
-		best, known := o.owners[k]
-		candidates := added
-		if !known || !current[best.Member] {
-			best, candidates = candidate{}, members
-		}
-		for _, m := range candidates {
-			best = best.better(k, m)
-		}
-		if best.Name != "" {
-			next[k] = best
-		}
-	}
-	o.members, o.owners = current, next
 }
 
 // Owner returns the name of the owner of a key, or "" if there are no members.
-func (o *Owners) Owner(k Key) string { return o.owners[k].Name }
-
-// better returns the member if it takes precedence over the candidate, and otherwise the candidate.
-func (c candidate) better(k Key, m Member) candidate {
-	local := m.Zone == k.Zone
-	if c.Name != "" && c.local && !local {
-		return c
+func (o *Owners) Owner(k Key) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if owner, known := o.owners[k]; known {
+		return owner
+	}
+	candidates := o.byZone[k.Zone]
+	if len(candidates) == 0 {
+		candidates = o.members
+	}
+	owner, best := "", uint64(0)
+	for _, m := range candidates {
+		if score := Score(k.Name, m.Name); owner == "" || score > best || score == best && m.Name < owner {
+			owner, best = m.Name, score
+		}
 	}
-	score := Score(k.Name, m.Name)
-	if c.Name == "" || local && !c.local || score > c.score || score == c.score && m.Name < c.Name {
-		return candidate{Member: m, score: score, local: local}
+	if o.owners != nil {
+		o.owners[k] = owner
 	}
-	return c
+	return owner
 }
