edge: stop requests that crash the upstreams that run them

Losses are counted by fingerprint, shared with the failure reports, and after three of them every gateway refuses the request with 1013 and 503 (not run). A success anywhere clears the count, so that a frequent request that happened to run on lost upstreams is not refused. Both are bounded (1,024 records, 2 x 2,048 successes of a minute).

Found on the way: errors of upstreamconn did not match syscall.ECONNREFUSED, so that a refused connection never confirmed a loss, in bramleypick run either (TestRefusedConnectionIsRecognised fails without the fix).

--- a/balancing/candidate.go
+++ b/balancing/candidate.go
@@ -5,6 +5,8 @@
 // Candidate is an upstream that may get a request now.
 type Candidate struct {
 	ID, Address, Zone string
+	// Incarnation distinguishes successive processes that register with the same id.
+	Incarnation int64
 	// Estimate is the expected response time.
 	Estimate time.Duration
 	// Load is the load that Estimate is based on, and Age is the age of that load, or one hour if there is none yet.
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -49,7 +49,7 @@
 
 // run sends the request, reads the response, records the outcome, and sends the attempt to results.
 func (a *attempt) run(results chan<- *attempt) {
-	a.exchange()
+	a.trackCrash(a.exchange)
 	a.done.Store(true)
 	now := time.Now()
 	outcome := a.outcome()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -21,6 +21,7 @@
 	arrived       time.Time
 	deadline      time.Time // the earlier of the client's and the route's
 	body          []byte
+	fingerprint   string // identifies requests like this one; see crashes
 
 	attempts int
 	// mayHaveRun reports whether an upstream may have started the request.
@@ -200,6 +201,9 @@
 	if c.attempts >= c.route.MaxAttempts || c.timeLeft() < c.minimumTimeLeft() || ctx.Err() != nil {
 		return nil, false
 	}
+	if c.g.crashes.records.blocked(c.fingerprint, time.Now()) {
+		return nil, false
+	}
 	if !c.service.budget.Take(time.Now()) {
 		return nil, false
 	}
--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -1,6 +1,10 @@
 package edge
 
-import "github.com/bramleypick/bramleypick/resultcode"
+import (
+	"net/http"
+
+	"github.com/bramleypick/bramleypick/resultcode"
+)
 
 // firstMayHaveRun is the start of the range of result codes after which the request may have run. Codes below it
 // guarantee that no upstream started the request.
@@ -12,22 +16,26 @@
 	message string
 	// retry reports whether the client may retry after retryAfter.
 	retry bool
+	// status replaces the usual HTTP status of the code. Zero means the usual one.
+	status int
 }
 
 var (
-	noUpstream         = failure{resultcode.NoUpstream, "no upstream of the service can take work now", true}
-	allOverloaded      = failure{resultcode.QueueFull, "no upstream of the service would answer in time", true}
-	upstreamRefused    = failure{resultcode.UpstreamRefused, "the upstream did not start the request", true}
-	noConfiguration    = failure{resultcode.ControlUnavailable, "no configuration is known yet", true}
-	unknownRoute       = failure{resultcode.UnknownRoute, "no route matches the host and path", false}
-	bodyTooLarge       = failure{resultcode.RequestTooLarge, "the request body exceeds the limit", false}
-	malformedBody      = failure{resultcode.MalformedRequest, "the request body could not be read", false}
-	bufferFull         = failure{resultcode.QueueFull, "the gateway holds too many request bodies", true}
-	deadlinePassed     = failure{resultcode.DeadlineBeforeStart, "the deadline had passed on arrival", false}
-	outcomeUnknown     = failure{resultcode.OutcomeUnknown, "the upstream failed after it may have started the request", false}
-	connectionCut      = failure{resultcode.UpstreamConnectionCut, "the connection to the upstream was lost", false}
-	brokenResponse     = failure{resultcode.BrokenResponse, "the upstream's answer was not complete or not valid", false}
-	deadlineAfterStart = failure{resultcode.DeadlineAfterStart, "the deadline passed after the request was sent", false}
+	noUpstream         = failure{code: resultcode.NoUpstream, message: "no upstream of the service can take work now", retry: true}
+	allOverloaded      = failure{code: resultcode.QueueFull, message: "no upstream of the service would answer in time", retry: true}
+	upstreamRefused    = failure{code: resultcode.UpstreamRefused, message: "the upstream did not start the request", retry: true}
+	noConfiguration    = failure{code: resultcode.ControlUnavailable, message: "no configuration is known yet", retry: true}
+	unknownRoute       = failure{code: resultcode.UnknownRoute, message: "no route matches the host and path"}
+	bodyTooLarge       = failure{code: resultcode.RequestTooLarge, message: "the request body exceeds the limit"}
+	malformedBody      = failure{code: resultcode.MalformedRequest, message: "the request body could not be read"}
+	bufferFull         = failure{code: resultcode.QueueFull, message: "the gateway holds too many request bodies", retry: true}
+	deadlinePassed     = failure{code: resultcode.DeadlineBeforeStart, message: "the deadline had passed on arrival"}
+	outcomeUnknown     = failure{code: resultcode.OutcomeUnknown, message: "the upstream failed after it may have started the request"}
+	connectionCut      = failure{code: resultcode.UpstreamConnectionCut, message: "the connection to the upstream was lost"}
+	brokenResponse     = failure{code: resultcode.BrokenResponse, message: "the upstream's answer was not complete or not valid"}
+	deadlineAfterStart = failure{code: resultcode.DeadlineAfterStart, message: "the deadline passed after the request was sent"}
+	// crashesUpstreams has a status that states that the request was not run. Clients take a 4xx for their own mistake.
+	crashesUpstreams = failure{code: resultcode.FingerprintBlocked, message: "requests like this one crashed upstreams", status: http.StatusServiceUnavailable}
 	// clientDisconnected is only logged and counted, never sent.
-	clientDisconnected = failure{resultcode.DeadlineAfterStart, "the client disconnected", false}
+	clientDisconnected = failure{code: resultcode.DeadlineAfterStart, message: "the client disconnected"}
 )
--- a/internal/edge/failure_reports.go
+++ b/internal/edge/failure_reports.go
@@ -20,11 +20,14 @@
 type failureReports struct {
 	mu                sync.Mutex
 	byUpstream        map[string]int
-	failed, succeeded float64 // recent counts, decaying with failureCountDecay
+	byRequest         map[string]int // see crashes
+	failed, succeeded float64        // recent counts, decaying with failureCountDecay
 	countedAt         time.Time
 }
 
-func newFailureReports() *failureReports { return &failureReports{byUpstream: make(map[string]int)} }
+func newFailureReports() *failureReports {
+	return &failureReports{byUpstream: make(map[string]int), byRequest: make(map[string]int)}
+}
 
 // record counts a success or a failure of an upstream.
 func (f *failureReports) record(upstream string, failed bool, now time.Time) {
@@ -40,32 +43,50 @@
 	}
 }
 
-// take returns the failures since the last call. If their cause is likely to be local, it drops them and returns none.
+// add counts a report about a request.
+func (f *failureReports) add(key string, count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.byRequest) < maxCrashRecords {
+		f.byRequest[key] += count
+	}
+}
+
+// take returns the reports since the last call. If the cause of the failures is likely to be local, it drops them and
+// returns only the reports about requests.
 func (f *failureReports) take() map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.byUpstream) == 0 {
+	if len(f.byUpstream) == 0 && len(f.byRequest) == 0 {
 		return nil
 	}
-	taken := f.byUpstream
-	f.byUpstream = make(map[string]int)
-	if f.failed > localFaultShare*(f.failed+f.succeeded) {
+	taken := f.byRequest
+	if f.failed <= localFaultShare*(f.failed+f.succeeded) {
+		for id, n := range f.byUpstream {
+			taken[id] = n
+		}
+	}
+	f.byUpstream, f.byRequest = make(map[string]int), make(map[string]int)
+	if len(taken) == 0 {
 		return nil
 	}
 	return taken
 }
 
-// TakeFailures returns the number of requests and probes that failed since the last call, by upstream id, to be
-// reported to the other gateways. It returns none while most requests and probes fail, because the cause is then likely
-// to be local.
+// TakeFailures returns the number of requests and probes that failed since the last call, by upstream id, and reports
+// about requests that crash upstreams, to be sent to the other gateways. It returns no failures while most requests and
+// probes fail, because the cause is then likely to be local.
 func (g *Gateway) TakeFailures() map[string]int { return g.failures.take() }
 
-// RecordReportedFailures records failures that other gateways reported, by upstream id.
+// RecordReportedFailures records what other gateways reported with TakeFailures.
 func (g *Gateway) RecordReportedFailures(reported map[string]int, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var suspects []string
 	for id, n := range reported {
+		if g.crashes.recordReport(id, n, now) {
+			continue
+		}
 		s := g.serviceByUpstream[id]
 		if s == nil {
 			continue
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -23,6 +23,7 @@
 	bufferedRequestBytes atomic.Int64
 	pacer                *pacer
 	failures             *failureReports
+	crashes              *crashes
 	// logBudget limits the log lines of requests that succeeded at the first attempt.
 	logBudget asynclog.Budget
 
@@ -40,7 +41,11 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = NewMetrics()
 	}
-	return &Gateway{cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond), failures: newFailureReports(), coldOwners: placement.NewOwners()}
+	failures := newFailureReports()
+	return &Gateway{
+		cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
+		failures: failures, crashes: newCrashes(cfg, failures), coldOwners: placement.NewOwners(),
+	}
 }
 
 // ClusterState is the state of the cluster that a gateway works with.
@@ -68,11 +73,13 @@
 	}
 	g.updateRoutes(state.View)
 	byService := make(map[string][]balancing.Upstream)
+	incarnations := make(map[string]int64, len(state.Upstreams))
 	g.coldOwners.Update(state.Gateways)
 	for _, e := range state.Upstreams {
 		if e.State != registry.Ready || state.View.Evacuated[e.Zone] {
 			continue
 		}
+		incarnations[e.ID] = e.Incarnation
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Slots: e.Slots,
 			Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft),
@@ -86,7 +93,7 @@
 		c := &state.View.Config.Services[i]
 		s := g.services[c.Name]
 		if s == nil {
-			s = newService(g.cfg, c.Name, g.pacer, g.failures)
+			s = newService(g.cfg, c.Name, g.pacer, g.failures, g.crashes)
 			g.services[c.Name] = s
 		}
 		for _, u := range byService[c.Name] {
@@ -94,6 +101,7 @@
 		}
 		s.update(c, byService[c.Name], max(1, len(state.Gateways)), now)
 	}
+	g.crashes.observe(incarnations, now)
 	g.dropRemovedServices(state.View.Config)
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/hopheader"
 )
 
@@ -53,7 +54,14 @@
 	if c.timeLeft() <= 0 {
 		return &deadlinePassed
 	}
-	return c.readBody(config.maxBody)
+	if f := c.readBody(config.maxBody); f != nil {
+		return f
+	}
+	c.fingerprint = crashguard.Fingerprint(c.service.name, c.r.Method, c.r.URL.RequestURI(), c.body)
+	if c.g.crashes.records.blocked(c.fingerprint, c.arrived) {
+		return &crashesUpstreams
+	}
+	return nil
 }
 
 // awaitConfig returns the route configuration. If there is none yet, it waits for it for up to firstConfigWait, which
@@ -171,7 +179,11 @@
 	if f.retry {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	c.w.WriteHeader(info.HTTPStatus)
+	status := info.HTTPStatus
+	if f.status != 0 {
+		status = f.status
+	}
+	c.w.WriteHeader(status)
 	// An error means that the client disconnected.
 	_, _ = c.w.Write(body)
 }
@@ -205,7 +217,7 @@
 			zap.Duration("load_age", c.bestRejected.Age), zap.Stringer("load", c.bestRejected.Load), zap.Duration("target_left", c.requirements().Target))
 	}
 	if f != nil {
-		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun))
+		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun), zap.String("fingerprint", c.fingerprint))
 	}
 	c.g.cfg.Log.Info(outcome, fields...)
 }
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -48,6 +48,7 @@
 		if cause := context.Cause(ctx); cause != context.Canceled {
 			s.balancer.RecordUnreachable(c.ID, now)
 			if errors.Is(err, upstreamconn.ErrDial) {
+				s.crashes.recordRefusal(c.ID, err, now)
 				s.failures.record(c.ID, true, now) // a late response alone is not reported to the other gateways
 			}
 		}
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -19,6 +19,7 @@
 	name       string
 	pacer      *pacer
 	failures   *failureReports
+	crashes    *crashes
 	metrics    *serviceMetrics
 	budget     *retrybudget.Window
 	mu         sync.Mutex
@@ -32,9 +33,9 @@
 	noLoadReports bool                          // the upstreams report no load, so that probes yield no information
 }
 
-func newService(cfg Config, name string, p *pacer, f *failureReports) *service {
+func newService(cfg Config, name string, p *pacer, f *failureReports, crashes *crashes) *service {
 	return &service{
-		cfg: cfg, name: name, pacer: p, failures: f, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		cfg: cfg, name: name, pacer: p, failures: f, crashes: crashes, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
--- a/internal/upstreamconn/errors.go
+++ b/internal/upstreamconn/errors.go
@@ -1,6 +1,8 @@
 package upstreamconn
 
 import (
+	"syscall"
+
 	"github.com/pkg/errors"
 )
 
@@ -35,11 +37,21 @@
 )
 
 // exchangeError combines one of the errors above with its cause. It never matches io.EOF, so that a reader does not take a
-// truncated body for a complete one. errors.Is matches only the kind and context errors.
+// truncated body for a complete one. errors.Is matches only the kind, context errors and syscall.ECONNREFUSED.
 type exchangeError struct {
 	kind    error
 	cause   error
-	context error // context.Canceled, context.DeadlineExceeded or nil
+	context error // context.Canceled, context.DeadlineExceeded, syscall.ECONNREFUSED or nil
+}
+
+// dialError returns the error of a connection that could not be opened. A refused one shows that no process listens at
+// the address.
+func dialError(cause error) error {
+	e := &exchangeError{kind: ErrDial, cause: cause}
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		e.context = syscall.ECONNREFUSED
+	}
+	return e
 }
 
 func newError(kind, cause error) error {
@@ -54,7 +66,7 @@
 	return e.kind.Error() + ": " + e.cause.Error()
 }
 
-// Unwrap returns the kind and, if the end of the context ended the exchange, the context's error.
+// Unwrap returns the kind and the context, if there is one.
 func (e *exchangeError) Unwrap() []error {
 	if e.context == nil {
 		return []error{e.kind}
--- a/internal/upstreamconn/invariant_test.go
+++ b/internal/upstreamconn/invariant_test.go
@@ -268,3 +268,17 @@
 	_, _, err = call(t.Context(), p, r)
 	is.True(errors.Is(err, ErrMismatchedResponse))
 }
+
+// Guards against a refused connection that looks like one without a response: only the former shows that the upstream's
+// process has ended.
+func TestRefusedConnectionIsRecognised(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(listener.Close())
+	p := NewPool(listener.Addr().String(), Options{})
+	defer p.Close()
+	_, err = p.Connect(t.Context(), true)
+	is.True(errors.Is(err, ErrDial))
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -126,7 +126,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
-		return nil, newError(ErrDial, err)
+		return nil, dialError(err)
 	}
 	t := newTransport(p, conn)
 	if p.closed {
