--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -25,8 +25,6 @@
 	lingerTimeout = 500 * time.Millisecond
 )
 
-var errHeaderTooLarge = errors.New("request header exceeds the configured limit")
-
 // conn is one client connection. One goroutine reads the requests, and one goroutine per request runs the handler.
 type conn struct {
 	server  *Server
@@ -295,24 +293,3 @@
 		_, _ = io.Copy(io.Discard, c.netConn)
 	}
 }
-
-// headerLimitReader limits the bytes read while remaining is not negative.
-type headerLimitReader struct {
-	conn      net.Conn
-	remaining int64
-}
-
-// Read implements io.Reader.
-func (l *headerLimitReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, errHeaderTooLarge
-	}
-	if l.remaining > 0 && int64(len(p)) > l.remaining {
-		p = p[:l.remaining]
-	}
-	n, err := l.conn.Read(p)
-	if l.remaining > 0 {
-		l.remaining -= int64(n)
-	}
-	return n, err
-}
