cluster: fetch views one after the other again

On links of 2.6 Mbit/s a large view takes longer, so that a process requested it from up to five replicas at once, the copies delayed each other past the timeout of 1 s, and all were requested again.

Change: one request at a time, as before; the request as soon as a link opens stays.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -25,9 +25,6 @@
 	// fetchTimeout bounds the fetch of a view or a status from one process. A large view takes 100 ms on a link of 6
 	// Mbit/s.
 	fetchTimeout = time.Second
-	// viewFetchPause is the time after which a view is also fetched from another replica. After a loss of power a
-	// replica replies to all processes at once, and the fastest reply decides when this process serves again.
-	viewFetchPause = 150 * time.Millisecond
 )
 
 // Cluster holds the state of the deployment as seen by this process, and its links to other processes. It is safe for
@@ -223,11 +220,9 @@
 	c.notify()
 }
 
-// fetchViews fetches newer views from the replicas that advertised them. If a replica does not reply within
-// viewFetchPause, the next one is asked at the same time.
+// fetchViews fetches newer views from the replicas that advertised them, one after the other: requests at the same time
+// would compete for the link, and a view with 1,400 routes takes a second on a slow one.
 func (c *Cluster) fetchViews(ctx context.Context) {
-	var fetches sync.WaitGroup
-	defer fetches.Wait()
 	for {
 		var link *nodelink.Link
 		select {
@@ -238,21 +233,12 @@
 		if index := c.advertisedIndex(link); index <= c.View().Index && c.View().Index != 0 {
 			continue // already fetched from another replica
 		}
-		done := make(chan struct{})
-		fetches.Go(func() {
-			defer close(done)
-			view, err := c.fetchView(ctx, link)
-			if err != nil {
-				c.log.Warn("failed to fetch the view", zap.String("replica", link.Remote), zap.Error(err))
-				return
-			}
-			c.installView(view)
-		})
-		select {
-		case <-done:
-		case <-time.After(viewFetchPause):
-		case <-ctx.Done():
+		view, err := c.fetchView(ctx, link)
+		if err != nil {
+			c.log.Warn("failed to fetch the view", zap.String("replica", link.Remote), zap.Error(err))
+			continue
 		}
+		c.installView(view)
 	}
 }
 
