--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/internal/controlnode"
 	"github.com/bramleypick/bramleypick/internal/nodelink"
@@ -63,12 +64,15 @@
 	}
 	err = ErrControlUnavailable
 	for _, l := range c.links() {
+		startedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, replicaCallTimeout)
 		reply, callErr := l.Call(callCtx, m, body)
 		cancel()
 		if callErr == nil {
 			return reply, nil
 		}
+		c.log.Warn("call to a replica failed", zap.String("replica", l.Remote), zap.Uint8("method", uint8(m)),
+			zap.Float64("ms", milliseconds(startedAt)), zap.Error(callErr))
 		err = errors.Wrap(ErrControlUnavailable, callErr.Error())
 		if ctx.Err() != nil {
 			break
@@ -105,14 +109,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	if _, err := r.node.ReadBarrier(ctx); err != nil {
+		c.log.Warn("read not confirmed", zap.Float64("ms", milliseconds(startedAt)), zap.Error(err))
 		return nil, err
 	}
-	data, err := r.machine.View().Encode()
+	confirmedAt := time.Now()
+	view := r.machine.View()
+	data, err := view.Encode()
 	if err != nil {
 		return nil, err
 	}
-	return compress(data)
+	if data, err = compress(data); err != nil {
+		return nil, err
+	}
+	c.log.Info("view read", zap.Uint64("index", view.Index), zap.Int("bytes", len(data)),
+		zap.Float64("confirmation_ms", float64(confirmedAt.Sub(startedAt).Microseconds())/1000), zap.Float64("encoding_ms", milliseconds(confirmedAt)))
+	return data, nil
+}
+
+// milliseconds returns the time since startedAt for a log line.
+func milliseconds(startedAt time.Time) float64 {
+	return float64(time.Since(startedAt).Microseconds()) / 1000
 }
 
 // forwardToLeader forwards the request to the leader if that is another replica. It returns done as false if this
