balancing, edge, cluster: keep the request limits that upstreams name, over all gateways

Cause: the header was not read.

Change: a limit of l requests/s is divided among l+2 gateways, selected by rendezvous hashing of those that clients use, each with a token bucket; the others send none. Together they send at most 5.5*l + 3 requests in 4 s, of 6*l + 5 allowed. Limits, changes and ends are shared through the replicas and repeated every 2 s. If only limits stand in the way, the request is refused with 1018, at once if this gateway gets no part in time. New log lines, a metric, and the field withheld.

--- a/balancing/choice.go
+++ b/balancing/choice.go
@@ -23,6 +23,7 @@
 	Overloaded   Decision = 3 // there are upstreams, but none would respond in time
 	NoUpstream   Decision = 4 // no upstream may get the request
 	Unresponsive Decision = 5 // there are upstreams that might take the request, but none has responded to a probe
+	LimitReached Decision = 6 // the request limits of all upstreams that might take the request are used up
 )
 
 // Search is the state of the search for an upstream for one request.
@@ -37,6 +38,8 @@
 	Pending bool
 	// RoundOver reports whether the last round has taken so long that the next one may start although probes are pending.
 	RoundOver bool
+	// Withheld are the upstreams that are no candidates because of their request limit.
+	Withheld Withheld
 }
 
 // Choice is the result of Choose.
@@ -46,12 +49,23 @@
 	Best Candidate
 	// Probe lists the candidates to probe next.
 	Probe []Candidate
+	// Withheld are the upstreams that were no candidates because of their request limit.
+	Withheld Withheld
 }
 
 // Choose decides what to do with a request, given the candidates in the order of Service.Rank. It chooses the best
 // candidate once its load is known and good. An acceptable candidate that is slow or busy is chosen only after others
 // were probed, because usually more than half of the upstreams are neither, and a probe takes 2 to 5 ms.
 func (r Requirements) Choose(ranked []Candidate, s Search) Choice {
+	c := r.choose(ranked, s)
+	c.Withheld = s.Withheld
+	return c
+}
+
+func (r Requirements) choose(ranked []Candidate, s Search) Choice {
+	if len(ranked) == 0 && s.Withheld.Upstreams > 0 {
+		return Choice{Decision: LimitReached}
+	}
 	if len(ranked) == 0 {
 		return Choice{Decision: NoUpstream}
 	}
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -24,6 +24,8 @@
 	// VerifyWarm reports whether health responses state if an upstream is cold, so that it must be probed before it
 	// gets a request.
 	VerifyWarm bool
+	// Gateways is the number of gateways among which the request limits of upstreams are divided.
+	Gateways int
 }
 
 // Service selects the upstreams of one service. Its methods ignore ids of upstreams that SetUpstreams did not list.
@@ -37,6 +39,7 @@
 	meanSlowdown float64
 	// reportsSlowdown reports whether upstreams report their slowdown.
 	reportsSlowdown bool
+	withheld        Withheld
 
 	// Buffers that Rank reuses: the unsorted candidates, the result, and the sort keys.
 	candidates, ranked []Candidate
@@ -66,6 +69,9 @@
 			if until.After(registered.ColdUntil) {
 				u.ColdUntil = until // the upstream's own report is newer than the registry's
 			}
+			if u.limit != nil {
+				u.limit.selected = false // the gateways may have changed
+			}
 		}
 		next[registered.ID] = u
 	}
@@ -91,13 +97,15 @@
 	return t
 }
 
-// Rank returns the upstreams that may get a request now, best first. Suspect upstreams come last. Among the others,
+// Rank returns the upstreams that may get a request now, best first. Those whose request limit is used up are left out; see
+// Withheld. Suspect upstreams come last. Among the others,
 // good enough ones of the local zone come first. Within these groups, the estimate in steps decides, then the local
 // zone, then the affinity. The result is valid until the next call.
 func (s *Service) Rank(r Requirements, now time.Time) []Candidate {
 	mean := s.serviceTime(r).mean
 	step := max(mean/estimateSteps, time.Millisecond)
 	s.candidates, s.sortKeys = s.candidates[:0], s.sortKeys[:0]
+	s.withheld = Withheld{}
 	for _, u := range s.upstreams {
 		if r.excludes(u.ID) || u.addressReassigned || now.Before(u.backoffUntil) {
 			continue
@@ -106,6 +114,9 @@
 		if cold && s.cfg.ColdPerSecond > 0 && (!u.ownedWhileCold() || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
 			continue
 		}
+		if !s.withinLimit(u, now) {
+			continue
+		}
 		c := Candidate{
 			ID: u.ID, Address: u.Address, Zone: u.Zone, Incarnation: u.Incarnation, Cold: cold, Estimate: s.estimate(u, mean, r, now),
 			Load: u.load, Age: s.loadAge(u, now), Suspect: u.suspect(now), HasFreeSlot: u.occupied(now) < u.slots(),
@@ -171,6 +182,9 @@
 		u.refillColdTokens(now, s.cfg.ColdPerSecond)
 		u.coldTokens--
 	}
+	if u.limit != nil {
+		u.limit.tokens--
+	}
 }
 
 // End records the outcome of a request.
--- a/balancing/upstream_state.go
+++ b/balancing/upstream_state.go
@@ -68,6 +68,7 @@
 	addressReassigned bool // another upstream has the address
 	coldTokens        float64
 	coldRefilledAt    time.Time
+	limit             *requestLimit // nil if the upstream names none
 	roundTrip         time.Duration
 	probedAt          time.Time // of the last health response
 }
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -47,6 +47,8 @@
 	dialers           map[string]context.CancelFunc // stops the reconnect loop, by peer address
 	subscribers       map[*nodelink.Link]*subscriber
 	pending           pendingChanges // not yet sent to the subscribers
+	pendingLimits     limits         // not yet sent to the subscribers
+	limitsSentAt      time.Time
 	replica           *replica
 	bootstrapped      bool // the control group is known to exist
 }
@@ -56,11 +58,15 @@
 	if cfg.OnFailures == nil {
 		cfg.OnFailures = func(map[string]int) {}
 	}
+	if cfg.OnLimits == nil {
+		cfg.OnLimits = func(map[string]float64) {}
+	}
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), publishSignal: make(chan struct{}, 1), viewFetches: make(chan *nodelink.Link, 16),
 		dialed: make(map[string]*nodelink.Link), advertisedIndexes: make(map[*nodelink.Link]uint64),
 		dialers: make(map[string]context.CancelFunc), subscribers: make(map[*nodelink.Link]*subscriber), pending: newPendingChanges(),
+		pendingLimits: make(limits),
 	}
 	c.self.State, c.self.Seq = roster.Starting, 1
 	c.view.Store(&routingstate.View{})
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -23,5 +23,8 @@
 	// OnFailures is called with the numbers of failed requests by upstream id that other processes reported. It must
 	// not block.
 	OnFailures func(map[string]int)
-	Log        *zap.Logger
+	// OnLimits is called with the request limits of upstreams that other processes reported; a negative limit has ended.
+	// It must not block.
+	OnLimits func(map[string]float64)
+	Log      *zap.Logger
 }
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -81,6 +81,11 @@
 		if err = decode(body, &f); err == nil {
 			c.relayFailures(l, f)
 		}
+	case methodLimits:
+		var reported limits
+		if err = decode(body, &reported); err == nil {
+			c.relayLimits(l, reported)
+		}
 	case methodReplog:
 		var message replog.Message
 		if err = decode(body, &message); err == nil {
@@ -108,6 +113,9 @@
 	if len(u.Failures) > 0 {
 		c.cfg.OnFailures(u.Failures)
 	}
+	if len(u.Limits) > 0 {
+		c.cfg.OnLimits(u.Limits)
+	}
 	for _, n := range u.Replicas {
 		// Sent by a process without a replica. The nodes are recorded as alive so that dialReplicas dials them.
 		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -22,6 +22,7 @@
 	methodStatus           nodelink.Method = 9  // call: empty body; the reply is a status
 	methodFailures         nodelink.Method = 10 // one-way, to a replica, which relays it: failures
 	methodCompressedUpdate nodelink.Method = 11 // methodUpdate with a compressed body
+	methodLimits           nodelink.Method = 12 // one-way, to a replica, which relays it: limits
 	methodViewIndex        nodelink.Method = 13 // call to a replica: leaderRequest; the reply is a viewIndex
 )
 
@@ -35,6 +36,8 @@
 	Replicas []roster.Node `cbor:"4,keyasint,omitempty"`
 	// Failures are the failed requests that other processes counted.
 	Failures failures `cbor:"5,keyasint,omitempty"`
+	// Limits are the request limits of upstreams that processes reported.
+	Limits limits `cbor:"6,keyasint,omitempty"`
 }
 
 // failures counts the requests that failed at upstreams, by the upstream's id.
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -48,8 +48,8 @@
 }
 
 // update returns the update with the changes.
-func (p *pendingChanges) update(viewIndex uint64) update {
-	u := update{ViewIndex: viewIndex}
+func (p *pendingChanges) update(viewIndex uint64, due limits) update {
+	u := update{ViewIndex: viewIndex, Limits: due}
 	for _, r := range p.reports {
 		u.Reports = append(u.Reports, r)
 	}
@@ -134,11 +134,11 @@
 
 // publish sends queued changes to the subscribers until ctx ends.
 func (c *Cluster) publish(ctx context.Context) {
-	var failuresDue <-chan time.Time
+	var reportsDue <-chan time.Time
 	for {
 		select {
 		case <-c.publishSignal:
-		case <-failuresDue:
+		case <-reportsDue:
 		case <-ctx.Done():
 			return
 		}
@@ -147,9 +147,9 @@
 				c.log.Error("failed to encode an update", zap.Error(err))
 			}
 		}
-		failuresDue = nil
-		if c.hasPendingFailures() {
-			failuresDue = time.After(failuresInterval)
+		reportsDue = nil
+		if c.hasPendingFailures() || c.hasPendingLimits() {
+			reportsDue = time.After(min(failuresInterval, limitsInterval))
 		}
 		select {
 		case <-time.After(publishInterval):
@@ -210,8 +210,9 @@
 	defer c.mu.Unlock()
 	updates := make(map[*nodelink.Link]*outgoingUpdate)
 	var full, changes *outgoingUpdate // each is shared by all subscribers that need it
-	if !c.pending.isEmpty() {
-		changes = &outgoingUpdate{update: c.pending.update(index)}
+	due := c.takeLimits(now)
+	if !c.pending.isEmpty() || len(due) > 0 {
+		changes = &outgoingUpdate{update: c.pending.update(index, due)}
 	}
 	for l, s := range c.subscribers {
 		switch {
@@ -222,12 +223,13 @@
 		case s.full:
 			if full == nil {
 				full = &outgoingUpdate{update: c.fullUpdate(index)}
+				full.Limits = due
 			}
 			// It is shared and so carries no failures. Those of the subscriber stay pending for its next update.
 			updates[l] = full
 		default:
 			if failed := s.takeFailures(now); len(failed) > 0 {
-				u := c.pending.update(index)
+				u := c.pending.update(index, due)
 				u.Failures = failed
 				updates[l] = &outgoingUpdate{update: u}
 			} else if changes != nil {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -62,6 +62,9 @@
 		if load, ok := a.call.g.cfg.Protocol.Load(a.resp.Header); ok {
 			a.call.service.balancer.RecordLoad(a.candidate.ID, load, now)
 		}
+		if outcome != balancing.AddressReassigned {
+			a.call.service.recordLimit(a.candidate.ID, a.resp.Header, false, now)
+		}
 	}
 	a.call.service.mu.Unlock()
 	if failed := outcome == balancing.Failed || outcome == balancing.Unreachable; failed || outcome == balancing.Succeeded {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -32,6 +32,8 @@
 	probed int
 	// bestRejected is the best candidate when no upstream was selected, for the log line of the refusal.
 	bestRejected balancing.Candidate
+	// withheld counts the upstreams that could not be selected because of their request limit.
+	withheld int
 }
 
 func (c *call) repeatable() bool { return c.route.Kind.Repeatable() }
@@ -145,17 +147,22 @@
 	until := c.arrived.Add(time.Duration(upstreamWaitShare * float64(c.target())))
 	for pause := pollInterval; ; {
 		r := c.requirements()
-		candidate, probed, decision := c.service.pick(ctx, r)
+		choice, probed := c.service.pick(ctx, r)
+		decision := choice.Decision
 		c.probed += probed
+		c.withheld = choice.Withheld.Upstreams
 		if decision == balancing.Send {
 			c.attempts++
-			c.tried = append(c.tried, candidate.ID)
-			a := newAttempt(ctx, c, r, candidate)
+			c.tried = append(c.tried, choice.Best.ID)
+			a := newAttempt(ctx, c, r, choice.Best)
 			go a.run(results)
 			return a, balancing.Send
 		}
-		c.bestRejected = candidate
+		c.bestRejected = choice.Best
 		now := time.Now()
+		if decision == balancing.LimitReached && choice.Withheld.UntilNext > until.Sub(now) {
+			return nil, decision // waiting does not help
+		}
 		if decision == balancing.Unresponsive {
 			// Missing probe responses do not show how busy the upstreams are, so waiting longer may help. But if this
 			// gateway is partitioned, the client needs enough time left to try another one.
@@ -179,6 +186,8 @@
 		return &clientDisconnected
 	case decision == balancing.Overloaded, decision == balancing.Unresponsive:
 		return &allOverloaded
+	case decision == balancing.LimitReached:
+		return &limitReached
 	}
 	return &noUpstream
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -12,7 +12,7 @@
 type Config struct {
 	// Zone is the availability zone of the gateway.
 	Zone string
-	// The functions Load and WarmupLeft of Protocol must not be nil.
+	// The functions of Protocol must not be nil.
 	Protocol Protocol
 	// RetryRatio, RetrySlack and RetryWindow limit the retries and hedges of each service over all gateways. In any
 	// period of RetryWindow there may be at most RetryRatio times the number of requests, plus RetrySlack.
--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -23,6 +23,7 @@
 var (
 	noUpstream         = failure{code: resultcode.NoUpstream, message: "no upstream of the service can take work now", retry: true}
 	allOverloaded      = failure{code: resultcode.QueueFull, message: "no upstream of the service would answer in time", retry: true}
+	limitReached       = failure{code: resultcode.RequestLimitReached, message: "the upstreams of the service have reached the request limits that they named", retry: true}
 	upstreamRefused    = failure{code: resultcode.UpstreamRefused, message: "the upstream did not start the request", retry: true}
 	noConfiguration    = failure{code: resultcode.ControlUnavailable, message: "no configuration is known yet", retry: true}
 	unknownRoute       = failure{code: resultcode.UnknownRoute, message: "no route matches the host and path"}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -24,6 +24,7 @@
 	pacer                *pacer
 	failures             *failureReports
 	crashes              *crashes
+	limits               *limitReports
 	// logBudget limits the log lines of requests that succeeded at the first attempt.
 	logBudget asynclog.Budget
 
@@ -34,6 +35,8 @@
 	view              *routingstate.View
 	// coldOwners assigns each upstream to the gateway that may send to it while it is cold.
 	coldOwners *placement.Owners
+	// limitSenders selects the gateways that may send to an upstream while it names a request limit.
+	limitSenders *placement.Senders
 }
 
 // New returns a gateway that refuses all requests until Update provides a configuration.
@@ -44,7 +47,8 @@
 	failures := newFailureReports()
 	return &Gateway{
 		cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
-		failures: failures, crashes: newCrashes(cfg, failures), coldOwners: placement.NewOwners(),
+		failures: failures, crashes: newCrashes(cfg, failures), limits: newLimitReports(),
+		coldOwners: placement.NewOwners(), limitSenders: placement.NewSenders(),
 	}
 }
 
@@ -54,10 +58,12 @@
 	Upstreams []registry.Entry
 	// Gateways are the live gateways. Limits over all gateways are divided among them.
 	Gateways []placement.Member
+	// Senders are those of the gateways that clients use in normal operation. Request limits are divided among them.
+	Senders []placement.Member
 	// Self is the name of this gateway in Gateways.
 	Self string
 	// Connected is false while this gateway may be partitioned from the others. It then sends nothing to cold
-	// upstreams.
+	// upstreams, and keeps its former part of the request limits.
 	Connected bool
 }
 
@@ -75,6 +81,9 @@
 	byService := make(map[string][]balancing.Upstream)
 	incarnations := make(map[string]int64, len(state.Upstreams))
 	g.coldOwners.Update(state.Gateways)
+	if state.Connected {
+		g.limitSenders.Update(state.Senders)
+	}
 	for _, e := range state.Upstreams {
 		if e.State != registry.Ready || state.View.Evacuated[e.Zone] {
 			continue
@@ -86,6 +95,7 @@
 			ColdOwner: func() bool {
 				return state.Connected && g.coldOwners.Owner(placement.Key{Name: e.ID, Zone: e.Zone}) == state.Self
 			},
+			IsSender: func(senders int) bool { return g.limitSenders.IsSender(e.ID, state.Self, senders) },
 		})
 	}
 	g.serviceByUpstream = make(map[string]*service, len(state.Upstreams))
@@ -93,13 +103,13 @@
 		c := &state.View.Config.Services[i]
 		s := g.services[c.Name]
 		if s == nil {
-			s = newService(g.cfg, c.Name, g.pacer, g.failures, g.crashes)
+			s = newService(g, c.Name)
 			g.services[c.Name] = s
 		}
 		for _, u := range byService[c.Name] {
 			g.serviceByUpstream[u.ID] = s
 		}
-		s.update(c, byService[c.Name], max(1, len(state.Gateways)), now)
+		s.update(c, byService[c.Name], max(1, len(state.Gateways)), g.limitSenders.Len(), now)
 	}
 	g.crashes.observe(incarnations, now)
 	g.dropRemovedServices(state.View.Config)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -219,5 +219,8 @@
 	if f != nil {
 		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun), zap.String("fingerprint", c.fingerprint))
 	}
+	if c.withheld > 0 {
+		fields = append(fields, zap.Int("withheld", c.withheld))
+	}
 	c.g.cfg.Log.Info(outcome, fields...)
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -32,6 +32,7 @@
 	testUpstream = "Test-Upstream"
 	testWarmup   = "Test-Warmup"
 	testLoad     = "Test-Load"
+	testLimit    = "Test-Limit"
 )
 
 func testProtocol() Protocol {
@@ -50,6 +51,13 @@
 			}
 			return time.Duration(ms) * time.Millisecond
 		},
+		RequestLimit: func(h http.Header) (float64, bool) {
+			if h.Get(testLimit) == "" {
+				return balancing.NoLimit, true
+			}
+			perSecond, err := strconv.ParseFloat(h.Get(testLimit), 64)
+			return perSecond, err == nil
+		},
 	}
 }
 
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -39,6 +40,7 @@
 				state.View.Config.Routes[i].TargetLatencyMillis = 0 // the service time assumed without a target exceeds the deadline
 			}
 		}, rejected},
+		{resultcode.RequestLimitReached, "/once/1", succeed, nil, nil, common + " withheld"},
 		{resultcode.DeadlineBeforeStart, "/once/1", succeed, func(r *http.Request) { r.Header.Set(testDeadline, "0") }, nil, common},
 		{resultcode.RequestTooLarge, "/once/1", succeed, func(r *http.Request) { r.ContentLength = 1 << 40 }, nil, common},
 		{resultcode.MalformedRequest, "/once/1", succeed, func(r *http.Request) { r.Body = http.MaxBytesReader(nil, r.Body, 1) }, nil, common},
@@ -58,6 +60,9 @@
 			}
 			core, lines := observer.New(zapcore.InfoLevel)
 			g := newGatewayWithLog(t, state, zap.New(core))
+			if test.code == resultcode.RequestLimitReached {
+				g.RecordReportedLimits(map[string]float64{"a": 1}, time.Now())
+			}
 			send(t, g, test.path, test.editRequest)
 			var found bool
 			for _, l := range lines.All() {
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -21,7 +21,7 @@
 // pick selects an upstream and records that a request is being sent to it. It probes the best candidates whose load is
 // not known, and returns as soon as a response shows that a candidate is good. It also returns the number of upstreams
 // probed.
-func (s *service) pick(ctx context.Context, r balancing.Requirements) (best balancing.Candidate, probed int, decision balancing.Decision) {
+func (s *service) pick(ctx context.Context, r balancing.Requirements) (choice balancing.Choice, probed int) {
 	responses := make(chan struct{}, balancing.MaxProbed)
 	search := balancing.Search{Probed: make(map[string]bool)}
 	pending := 0
@@ -30,7 +30,7 @@
 		search.CanProbe = ctx.Err() == nil && s.canProbe()
 		choice := s.choose(r, search)
 		if choice.Decision != balancing.Wait {
-			return choice.Best, len(search.Probed), choice.Decision
+			return choice, len(search.Probed)
 		}
 		if len(choice.Probe) > 0 {
 			for _, c := range choice.Probe {
@@ -51,7 +51,8 @@
 		case <-timer:
 			search.RoundOver = true
 		case <-ctx.Done():
-			return choice.Best, len(search.Probed), balancing.Unresponsive
+			choice.Decision = balancing.Unresponsive
+			return choice, len(search.Probed)
 		}
 	}
 }
@@ -75,7 +76,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	choice := r.Choose(s.balancer.Rank(r, now), search)
+	ranked := s.balancer.Rank(r, now)
+	search.Withheld = s.balancer.Withheld()
+	choice := r.Choose(ranked, search)
 	if choice.Decision == balancing.Send {
 		s.balancer.Begin(choice.Best.ID, now)
 	}
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -62,6 +62,7 @@
 	s.failures.record(c.ID, false, now)
 	s.meanProbeTime += time.Duration(probeGain * float64(now.Sub(started)-s.meanProbeTime))
 	s.balancer.RecordProbe(c.ID, status == http.StatusOK, p.WarmupLeft(header), now.Sub(started), now)
+	s.recordLimit(c.ID, header, true, now)
 	load, ok := p.Load(header)
 	if ok {
 		s.balancer.RecordLoad(c.ID, load, now)
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -24,4 +24,7 @@
 	Load func(http.Header) (balancing.Load, bool)
 	// WarmupLeft decodes the remaining warm-up time from a health response.
 	WarmupLeft func(http.Header) time.Duration
+	// RequestLimit decodes the number of requests per second that an upstream accepts from all gateways together, or
+	// balancing.NoLimit if the response names none. It returns false if the value is malformed.
+	RequestLimit func(http.Header) (float64, bool)
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -20,6 +20,7 @@
 	pacer      *pacer
 	failures   *failureReports
 	crashes    *crashes
+	limits     *limitReports
 	metrics    *serviceMetrics
 	budget     *retrybudget.Window
 	mu         sync.Mutex
@@ -28,25 +29,28 @@
 	maxConns   int
 	// coldPerSecond is the rate at which this gateway may send to a cold upstream. Zero means no limit.
 	coldPerSecond float64
+	limitSenders  int                           // the number of gateways among which request limits are divided
 	pools         map[string]*upstreamconn.Pool // by address
 	meanProbeTime time.Duration                 // moving average of the duration of successful probes
 	noLoadReports bool                          // the upstreams report no load, so that probes yield no information
 }
 
-func newService(cfg Config, name string, p *pacer, f *failureReports, crashes *crashes) *service {
+func newService(g *Gateway, name string) *service {
+	cfg := g.cfg
 	return &service{
-		cfg: cfg, name: name, pacer: p, failures: f, crashes: crashes, metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		cfg: cfg, name: name, pacer: g.pacer, failures: g.failures, crashes: g.crashes, limits: g.limits,
+		metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
 
 // update replaces the service's configuration and upstreams. It sets this gateway's part of the limits that apply to all
 // gateways together.
-func (s *service) update(c *routing.Service, upstreams []balancing.Upstream, gateways int, now time.Time) {
+func (s *service) update(c *routing.Service, upstreams []balancing.Upstream, gateways, limitSenders int, now time.Time) {
 	s.budget.SetSlack(s.cfg.RetrySlack * retryMargin / float64(gateways))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.healthPath, s.maxConns = c.HealthPath, c.MaxConnections
+	s.healthPath, s.maxConns, s.limitSenders = c.HealthPath, c.MaxConnections, limitSenders
 	s.coldPerSecond = 0
 	if c.WarmupRequestsPerSecond > 0 {
 		// In any second, each owner may send a burst of one request in addition to its rate.
@@ -88,6 +92,7 @@
 func (s *service) configure() {
 	s.balancer.Configure(balancing.Config{
 		ColdPerSecond: s.coldPerSecond, VerifyWarm: s.coldPerSecond > 0 && s.healthPath != "" && !s.noLoadReports,
+		Gateways: s.limitSenders,
 	})
 }
 
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -35,6 +35,9 @@
 	gauge("control.links", n.cluster.Links())
 	gauge("control.leader", map[bool]int{true: 1}[n.cluster.IsLeader()])
 	gauge("processes.alive", len(n.cluster.Nodes()))
+	for service, limited := range n.gateway.LimitedUpstreams() {
+		gauge(service+".limited_upstreams", limited)
+	}
 	states := map[string]int{}
 	for _, e := range n.cluster.Upstreams() {
 		states[e.State.String()]++
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -25,10 +25,13 @@
 	// interval.
 	minRefreshInterval = 20 * time.Millisecond
 	maxRefreshInterval = time.Second
-	// failureReportInterval is the time between two reports of failing upstreams to the other processes. Every process
-	// receives the reports of all others at this interval. Where upstreams are busiest, a failing one gets 5
+	// reportInterval is the time between two reports of failing upstreams and of request limits to the other processes.
+	// Every process receives the reports of all others at this interval. Where upstreams are busiest, a failing one gets 5
 	// requests per second, which is about one per interval.
-	failureReportInterval = 250 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
+	// minSenders is the number of gateways without a replica from which on request limits are not divided among the others,
+	// to which clients are not directed then.
+	minSenders = 2
 	// readTimeout bounds the time for reading a request including its body on the entry address, and a request header
 	// on the other addresses. It is longer than the usual routing.Limits.HeaderTimeoutMillis, which is 3 s and is not
 	// applied.
@@ -82,6 +85,7 @@
 		Seeds:   func() []string { return append([]string(nil), n.settings.Load().SeedPeers...) },
 		DataDir: s.DataDir, AllowBootstrap: s.FirstStart, Log: log.Named("cluster"),
 		OnFailures: func(counts map[string]int) { n.gateway.RecordReportedFailures(counts, time.Now()) },
+		OnLimits:   func(limits map[string]float64) { n.gateway.RecordReportedLimits(limits, time.Now()) },
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
@@ -105,7 +109,7 @@
 	})
 	tasks.Go(func() { n.refresh(running) })
 	tasks.Go(func() { n.reload(running) })
-	tasks.Go(func() { n.shareFailures(running) })
+	tasks.Go(func() { n.shareReports(running) })
 	control, directory, ready := n.adapter.Handlers(n)
 	entry := n.entryServer()
 	servers := []server{entry, n.server(control), n.server(directory), n.server(ready), n.server(n.metricsHandler())}
@@ -200,9 +204,9 @@
 	}
 }
 
-// shareFailures reports failing upstreams to the other processes until ctx ends.
-func (n *Node) shareFailures(ctx context.Context) {
-	ticker := time.NewTicker(failureReportInterval)
+// shareReports reports failing upstreams and request limits to the other processes until ctx ends.
+func (n *Node) shareReports(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -213,6 +217,9 @@
 		if counts := n.gateway.TakeFailures(); len(counts) > 0 {
 			n.cluster.ShareFailures(counts)
 		}
+		if limits := n.gateway.TakeLimits(); len(limits) > 0 {
+			n.cluster.ShareLimits(limits)
+		}
 	}
 }
 
@@ -224,15 +231,24 @@
 		return
 	}
 	n.appliedRevision = revision
-	var gateways []placement.Member
+	var gateways, senders []placement.Member
 	for _, node := range n.cluster.Nodes() {
-		if node.State == roster.Serving {
-			gateways = append(gateways, placement.Member{Name: node.IP, Zone: node.Zone})
+		if node.State != roster.Serving {
+			continue
 		}
+		member := placement.Member{Name: node.IP, Zone: node.Zone}
+		gateways = append(gateways, member)
+		if node.ReplicaID == 0 {
+			senders = append(senders, member)
+		}
+	}
+	if len(senders) < minSenders {
+		senders = gateways
 	}
 	self := n.cluster.Self()
 	n.gateway.Update(edge.ClusterState{
-		View: n.cluster.View(), Upstreams: n.cluster.Upstreams(), Gateways: gateways, Self: self.IP, Connected: n.cluster.Connected(),
+		View: n.cluster.View(), Upstreams: n.cluster.Upstreams(), Gateways: gateways, Senders: senders,
+		Self: self.IP, Connected: n.cluster.Connected(),
 	}, time.Now())
 	if n.gateway.Ready() && self.State == roster.Starting {
 		n.log.Info("ready")
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -27,6 +27,7 @@
 	ControlUnavailable     Code = 1015
 	ClientAccountLimit     Code = 1016
 	UnknownRoute           Code = 1017
+	RequestLimitReached    Code = 1018
 )
 
 // Codes of requests that may have run at an upstream (2xxx).
