edge, balancing, registry: update the data path without work and garbage for each upstream

Each update made two closures for each upstream, three maps of all of them, and a sorted copy of the registry (sorting the entries, 112 bytes each, was half of it), also when only a VM had come or gone.

Change: if only the gateways changed, only what depends on them is replaced (Gateway.UpdateGateways). Otherwise the balancer keeps its map, what a gateway is responsible for is one balancing.Membership instead of closures, and the registry sorts pointers.

TestColdUpstreams gets its owner from the Membership; its bounds are unchanged.

--- a/balancing/request_limit_test.go
+++ b/balancing/request_limit_test.go
@@ -77,7 +77,6 @@
 			id := fmt.Sprintf("u%03d", i)
 			registrations = append(registrations, Upstream{
 				ID: id, Address: id, Zone: "z", Incarnation: 1, Slots: 100, Affinity: placement.Score(id, members[g].Name),
-				IsSender: func(count int) bool { return l.ownLimits || senders.IsSender(id, members[g].Name, count) },
 			})
 		}
 		services[g].SetUpstreams(registrations, now)
@@ -90,7 +89,10 @@
 			gateways = 1
 		}
 		services[g] = New()
-		services[g].Configure(Config{Gateways: gateways})
+		name := members[g].Name
+		services[g].Configure(Config{Gateways: gateways, Membership: testMembership{isSender: func(id string, count int) bool {
+			return l.ownLimits || senders.IsSender(id, name, count)
+		}}})
 	}
 	for g := range services {
 		start(g, 0, epoch)
@@ -229,8 +231,8 @@
 		t.Run(test.description, func(t *testing.T) {
 			is := is.New(t)
 			s := New()
-			s.Configure(Config{Gateways: 5})
-			s.SetUpstreams([]Upstream{{ID: "u", Incarnation: 1, IsSender: func(int) bool { return false }}}, now)
+			s.Configure(Config{Gateways: 5, Membership: testMembership{isSender: func(string, int) bool { return false }}})
+			s.SetUpstreams([]Upstream{{ID: "u", Incarnation: 1}}, now)
 			changed, report := s.RecordLimit("u", 2, now)
 			is.True(changed && report)
 			is.Equal(len(s.Rank(Requirements{}, now)), 0)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -230,6 +230,7 @@
 	if revision == n.appliedRevision {
 		return
 	}
+	before := n.appliedRevision
 	n.appliedRevision = revision
 	var gateways, senders []placement.Member
 	for _, node := range n.cluster.Nodes() {
@@ -246,10 +247,13 @@
 		senders = gateways
 	}
 	self := n.cluster.Self()
-	n.gateway.Update(edge.ClusterState{
-		View: n.cluster.View(), Upstreams: n.cluster.Upstreams(), Gateways: gateways, Senders: senders,
-		Self: self.IP, Connected: n.cluster.Connected(),
-	}, time.Now())
+	state := edge.ClusterState{Gateways: gateways, Senders: senders, Self: self.IP, Connected: revision.Connected}
+	if before.Nodes = revision.Nodes; before == revision { // nothing else has changed
+		n.gateway.UpdateGateways(state)
+	} else {
+		state.View, state.Upstreams = n.cluster.View(), n.cluster.Upstreams()
+		n.gateway.Update(state, time.Now())
+	}
 	if n.gateway.Ready() && self.State == roster.Starting {
 		n.log.Info("ready")
 		n.cluster.SetState(roster.Serving)
