--- a/balancing/request_limit.go
+++ b/balancing/request_limit.go
@@ -37,7 +37,7 @@
 	reportedAt  time.Time // when this or another gateway last reported the limit
 	reported    float64   // the limit in that report
 
-	// isSender caches the result of Membership.IsSender for the current limit. It is valid if selected is set.
+	// isSender caches the result of Upstream.IsSender for the current limit. It is valid if selected is set.
 	isSender, selected bool
 	tokens             float64
 	refilledAt         time.Time
@@ -64,12 +64,12 @@
 
 // selectSender determines whether this gateway is a sender. A gateway that becomes one starts without tokens, because its
 // predecessor may just have used its own.
-func (l *requestLimit) selectSender(id string, cfg *Config, now time.Time) {
+func (l *requestLimit) selectSender(u *upstreamState, gateways int, now time.Time) {
 	if l.selected {
 		return
 	}
 	was := l.isSender
-	l.isSender, l.selected = cfg.Membership != nil && cfg.Membership.IsSender(id, l.senders(cfg.Gateways)), true
+	l.isSender, l.selected = u.IsSender != nil && u.IsSender(l.senders(gateways)), true
 	if !was {
 		l.tokens, l.refilledAt = 0, now
 	}
@@ -77,12 +77,12 @@
 
 // untilToken returns the time until this gateway may send the next request: zero if it may send one now, and
 // math.MaxInt64 if it is not a sender.
-func (l *requestLimit) untilToken(id string, cfg *Config, now time.Time) time.Duration {
-	l.selectSender(id, cfg, now)
+func (l *requestLimit) untilToken(u *upstreamState, gateways int, now time.Time) time.Duration {
+	l.selectSender(u, gateways, now)
 	if !l.isSender {
 		return math.MaxInt64
 	}
-	senders := float64(l.senders(cfg.Gateways))
+	senders := float64(l.senders(gateways))
 	rate, burst := l.perSecond/senders, senderBurst*(l.perSecond+spareSenders)/senders
 	l.tokens = min(burst, l.tokens+now.Sub(l.refilledAt).Seconds()*rate)
 	l.refilledAt = now
@@ -109,7 +109,7 @@
 		u.limit = nil
 		return true
 	}
-	wait := u.limit.untilToken(u.ID, &s.cfg, now)
+	wait := u.limit.untilToken(u, s.cfg.Gateways, now)
 	if wait == 0 {
 		return true
 	}
--- a/balancing/request_limit_test.go
+++ b/balancing/request_limit_test.go
@@ -77,6 +77,7 @@
 			id := fmt.Sprintf("u%03d", i)
 			registrations = append(registrations, Upstream{
 				ID: id, Address: id, Zone: "z", Incarnation: 1, Slots: 100, Affinity: placement.Score(id, members[g].Name),
+				IsSender: func(count int) bool { return l.ownLimits || senders.IsSender(id, members[g].Name, count) },
 			})
 		}
 		services[g].SetUpstreams(registrations, now)
@@ -89,10 +90,7 @@
 			gateways = 1
 		}
 		services[g] = New()
-		name := members[g].Name
-		services[g].Configure(Config{Gateways: gateways, Membership: testMembership{isSender: func(id string, count int) bool {
-			return l.ownLimits || senders.IsSender(id, name, count)
-		}}})
+		services[g].Configure(Config{Gateways: gateways})
 	}
 	for g := range services {
 		start(g, 0, epoch)
@@ -231,8 +229,8 @@
 		t.Run(test.description, func(t *testing.T) {
 			is := is.New(t)
 			s := New()
-			s.Configure(Config{Gateways: 5, Membership: testMembership{isSender: func(string, int) bool { return false }}})
-			s.SetUpstreams([]Upstream{{ID: "u", Incarnation: 1}}, now)
+			s.Configure(Config{Gateways: 5})
+			s.SetUpstreams([]Upstream{{ID: "u", Incarnation: 1, IsSender: func(int) bool { return false }}}, now)
 			changed, report := s.RecordLimit("u", 2, now)
 			is.True(changed && report)
 			is.Equal(len(s.Rank(Requirements{}, now)), 0)
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -19,15 +19,13 @@
 // Config configures a Service.
 type Config struct {
 	// ColdPerSecond is the rate at which this gateway may send requests to a cold upstream that it owns
-	// (Membership.OwnsCold). If it is zero, every gateway may send to cold upstreams without a limit.
+	// (Upstream.ColdOwner). If it is zero, every gateway may send to cold upstreams without a limit.
 	ColdPerSecond float64
 	// VerifyWarm reports whether health responses state if an upstream is cold, so that it must be probed before it
 	// gets a request.
 	VerifyWarm bool
 	// Gateways is the number of gateways among which the request limits of upstreams are divided.
 	Gateways int
-	// Membership may be nil. The gateway is then responsible for no upstream.
-	Membership Membership
 }
 
 // Service selects the upstreams of one service. Its methods ignore ids of upstreams that SetUpstreams did not list.
@@ -42,8 +40,6 @@
 	// reportsSlowdown reports whether upstreams report their slowdown.
 	reportsSlowdown bool
 	withheld        Withheld
-	// listing counts the calls of SetUpstreams.
-	listing uint64
 
 	// Buffers that Rank reuses: the unsorted candidates, the result, and the sort keys.
 	candidates, ranked []Candidate
@@ -61,7 +57,7 @@
 // SetUpstreams replaces the upstreams that may get requests. It keeps the state of those that were listed before with the
 // same incarnation and address.
 func (s *Service) SetUpstreams(upstreams []Upstream, now time.Time) {
-	s.listing++
+	next := make(map[string]*upstreamState, len(upstreams))
 	for _, registered := range upstreams {
 		u := s.upstreams[registered.ID]
 		if u == nil || u.Incarnation != registered.Incarnation || u.Address != registered.Address {
@@ -77,24 +73,9 @@
 				u.limit.selected = false // the gateways may have changed
 			}
 		}
-		u.listing = s.listing
-		s.upstreams[registered.ID] = u
-	}
-	for id, u := range s.upstreams {
-		if u.listing != s.listing {
-			delete(s.upstreams, id)
-		}
-	}
-}
-
-// SetGateways replaces the number of gateways among which request limits are divided, after the gateways have changed.
-func (s *Service) SetGateways(gateways int) {
-	s.cfg.Gateways = gateways
-	for _, u := range s.upstreams {
-		if u.limit != nil {
-			u.limit.selected = false
-		}
+		next[registered.ID] = u
 	}
+	s.upstreams = next
 }
 
 // RetainRoutes drops the service times of all other routes.
@@ -130,7 +111,7 @@
 			continue
 		}
 		cold := u.cold(now)
-		if cold && s.cfg.ColdPerSecond > 0 && (!s.ownsCold(u) || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
+		if cold && s.cfg.ColdPerSecond > 0 && (!u.ownedWhileCold() || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
 			continue
 		}
 		if !s.withinLimit(u, now) {
--- a/balancing/service_test.go
+++ b/balancing/service_test.go
@@ -30,15 +30,6 @@
 	return list
 }
 
-// testMembership is a Membership with fixed answers.
-type testMembership struct {
-	owner    bool
-	isSender func(id string, senders int) bool
-}
-
-func (m testMembership) OwnsCold(string, string) bool         { return m.owner }
-func (m testMembership) IsSender(id string, senders int) bool { return m.isSender(id, senders) }
-
 // Guards against exceeding the allowed rate of requests to a cold upstream, and against sending it none at all.
 func TestColdUpstreams(t *testing.T) {
 	for _, test := range []struct {
@@ -52,8 +43,10 @@
 		t.Run(test.description, func(t *testing.T) {
 			is := is.New(t)
 			s := New()
-			s.Configure(Config{ColdPerSecond: 5, VerifyWarm: true, Membership: testMembership{owner: test.owner}})
-			s.SetUpstreams(upstreams(1, func(u *Upstream) { u.ColdUntil = epoch.Add(time.Minute) }), epoch)
+			s.Configure(Config{ColdPerSecond: 5, VerifyWarm: true})
+			s.SetUpstreams(upstreams(1, func(u *Upstream) {
+				u.ColdUntil, u.ColdOwner = epoch.Add(time.Minute), func() bool { return test.owner }
+			}), epoch)
 			var sent []time.Time
 			for now := epoch; now.Before(epoch.Add(10 * time.Second)); now = now.Add(7 * time.Millisecond) {
 				for _, c := range s.Rank(Requirements{Zone: "z"}, now) {
--- a/balancing/upstream.go
+++ b/balancing/upstream.go
@@ -13,6 +13,12 @@
 	Slots int
 	// ColdUntil is the end of the warm-up. Until then, the upstream is cold.
 	ColdUntil time.Time
+	// ColdOwner reports whether this gateway is the one that may send to the upstream while it is cold. It is called only
+	// for cold upstreams. Nil means that it is not.
+	ColdOwner func() bool
+	// IsSender reports whether this gateway is one of the given number of gateways that may send to the upstream while it
+	// names a request limit. It is called only for upstreams that do. Nil means that it is not.
+	IsSender func(senders int) bool
 	// Affinity orders upstreams that are otherwise equal, highest first. It should differ between gateways, to spread
 	// their requests over the upstreams, and stay the same over time, so that connections are reused.
 	Affinity uint64
--- a/balancing/upstream_state.go
+++ b/balancing/upstream_state.go
@@ -55,7 +55,6 @@
 // upstreamState is an upstream with the load, failures and requests that this gateway has recorded for it.
 type upstreamState struct {
 	Upstream
-	listing           uint64 // the last one that had the upstream
 	load              Load
 	loadAt            time.Time
 	sentSinceLoad     int // requests sent after loadAt
@@ -140,10 +139,7 @@
 
 func (u *upstreamState) cold(now time.Time) bool { return now.Before(u.ColdUntil) }
 
-// ownsCold reports whether this gateway may send to a cold upstream.
-func (s *Service) ownsCold(u *upstreamState) bool {
-	return s.cfg.Membership != nil && s.cfg.Membership.OwnsCold(u.ID, u.Zone)
-}
+func (u *upstreamState) ownedWhileCold() bool { return u.ColdOwner != nil && u.ColdOwner() }
 
 // refillColdTokens refills the token bucket for requests to a cold upstream and returns the available tokens.
 func (u *upstreamState) refillColdTokens(now time.Time, perSecond float64) float64 {
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -48,7 +48,7 @@
 	return &Gateway{
 		cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
 		failures: failures, crashes: newCrashes(cfg, failures), limits: newLimitReports(),
-		coldOwners: placement.NewOwners(), limitSenders: placement.NewSenders(), serviceByUpstream: make(map[string]*service),
+		coldOwners: placement.NewOwners(), limitSenders: placement.NewSenders(),
 	}
 }
 
@@ -78,12 +78,12 @@
 		defer close(g.configured)
 	}
 	g.updateRoutes(state.View)
-	byService := make(map[string][]balancing.Upstream, len(g.services))
-	for name, s := range g.services {
-		byService[name] = make([]balancing.Upstream, 0, s.upstreams+newUpstreams)
-	}
+	byService := make(map[string][]balancing.Upstream)
 	incarnations := make(map[string]int64, len(state.Upstreams))
-	g.setMembers(state)
+	g.coldOwners.Update(state.Gateways)
+	if state.Connected {
+		g.limitSenders.Update(state.Senders)
+	}
 	for _, e := range state.Upstreams {
 		if e.State != registry.Ready || state.View.Evacuated[e.Zone] {
 			continue
@@ -92,10 +92,13 @@
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Slots: e.Slots,
 			Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft),
+			ColdOwner: func() bool {
+				return state.Connected && g.coldOwners.Owner(placement.Key{Name: e.ID, Zone: e.Zone}) == state.Self
+			},
+			IsSender: func(senders int) bool { return g.limitSenders.IsSender(e.ID, state.Self, senders) },
 		})
 	}
-	clear(g.serviceByUpstream)
-	member := &membership{self: state.Self, connected: state.Connected, coldOwners: g.coldOwners, limitSenders: g.limitSenders}
+	g.serviceByUpstream = make(map[string]*service, len(state.Upstreams))
 	for i := range state.View.Config.Services {
 		c := &state.View.Config.Services[i]
 		s := g.services[c.Name]
@@ -106,35 +109,12 @@
 		for _, u := range byService[c.Name] {
 			g.serviceByUpstream[u.ID] = s
 		}
-		s.update(c, byService[c.Name], member, now)
-		s.setGateways(max(1, len(state.Gateways)), g.limitSenders.Len())
+		s.update(c, byService[c.Name], max(1, len(state.Gateways)), g.limitSenders.Len(), now)
 	}
 	g.crashes.observe(incarnations, now)
 	g.dropRemovedServices(state.View.Config)
 }
 
-// newUpstreams is the number of upstreams for which there is room without another allocation when some have been added.
-const newUpstreams = 8
-
-// setMembers replaces the gateways that own cold upstreams and among which request limits are divided. The caller holds mu.
-func (g *Gateway) setMembers(state ClusterState) {
-	g.coldOwners.Update(state.Gateways)
-	if state.Connected {
-		g.limitSenders.Update(state.Senders)
-	}
-}
-
-// UpdateGateways replaces the gateways of the cluster state, of which nothing else has changed since the last call of
-// Update. With hundreds of VMs and upstreams this takes a fraction of the time of Update.
-func (g *Gateway) UpdateGateways(state ClusterState) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.setMembers(state)
-	for _, s := range g.services {
-		s.setGateways(max(1, len(state.Gateways)), g.limitSenders.Len())
-	}
-}
-
 // dropRemovedServices releases the state of services that the configuration no longer has. Requests in flight keep
 // theirs.
 func (g *Gateway) dropRemovedServices(config *routing.Config) {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -23,14 +23,12 @@
 	limits     *limitReports
 	metrics    *serviceMetrics
 	budget     *retrybudget.Window
-	upstreams  int // the number of those in the last update; guarded by Gateway.mu
 	mu         sync.Mutex
 	balancer   *balancing.Service
 	healthPath string
 	maxConns   int
 	// coldPerSecond is the rate at which this gateway may send to a cold upstream. Zero means no limit.
 	coldPerSecond float64
-	membership    balancing.Membership
 	limitSenders  int                           // the number of gateways among which request limits are divided
 	pools         map[string]*upstreamconn.Pool // by address
 	meanProbeTime time.Duration                 // moving average of the duration of successful probes
@@ -46,21 +44,13 @@
 	}
 }
 
-// setGateways sets this gateway's part of the limits that apply to all gateways together.
-func (s *service) setGateways(gateways, limitSenders int) {
+// update replaces the service's configuration and upstreams. It sets this gateway's part of the limits that apply to all
+// gateways together.
+func (s *service) update(c *routing.Service, upstreams []balancing.Upstream, gateways, limitSenders int, now time.Time) {
 	s.budget.SetSlack(s.cfg.RetrySlack * retryMargin / float64(gateways))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limitSenders = limitSenders
-	s.balancer.SetGateways(limitSenders)
-}
-
-// update replaces the service's configuration and upstreams.
-func (s *service) update(c *routing.Service, upstreams []balancing.Upstream, m *membership, now time.Time) {
-	s.upstreams = len(upstreams)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.healthPath, s.maxConns, s.membership = c.HealthPath, c.MaxConnections, m
+	s.healthPath, s.maxConns, s.limitSenders = c.HealthPath, c.MaxConnections, limitSenders
 	s.coldPerSecond = 0
 	if c.WarmupRequestsPerSecond > 0 {
 		// In any second, each owner may send a burst of one request in addition to its rate.
@@ -102,7 +92,7 @@
 func (s *service) configure() {
 	s.balancer.Configure(balancing.Config{
 		ColdPerSecond: s.coldPerSecond, VerifyWarm: s.coldPerSecond > 0 && s.healthPath != "" && !s.noLoadReports,
-		Gateways: s.limitSenders, Membership: s.membership,
+		Gateways: s.limitSenders,
 	})
 }
 
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -230,7 +230,6 @@
 	if revision == n.appliedRevision {
 		return
 	}
-	before := n.appliedRevision
 	n.appliedRevision = revision
 	var gateways, senders []placement.Member
 	for _, node := range n.cluster.Nodes() {
@@ -247,13 +246,10 @@
 		senders = gateways
 	}
 	self := n.cluster.Self()
-	state := edge.ClusterState{Gateways: gateways, Senders: senders, Self: self.IP, Connected: revision.Connected}
-	if before.Nodes = revision.Nodes; before == revision { // nothing else has changed
-		n.gateway.UpdateGateways(state)
-	} else {
-		state.View, state.Upstreams = n.cluster.View(), n.cluster.Upstreams()
-		n.gateway.Update(state, time.Now())
-	}
+	n.gateway.Update(edge.ClusterState{
+		View: n.cluster.View(), Upstreams: n.cluster.Upstreams(), Gateways: gateways, Senders: senders,
+		Self: self.IP, Connected: n.cluster.Connected(),
+	}, time.Now())
 	if n.gateway.Ready() && self.State == roster.Starting {
 		n.log.Info("ready")
 		n.cluster.SetState(roster.Serving)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -100,16 +99,18 @@
 func (r *Registry) All(now time.Time) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	records := make([]*record, 0, len(r.entries)) // sorted instead of the entries, which are large
+	all := make([]Entry, 0, len(r.entries))
 	for _, rec := range r.entries {
-		records = append(records, rec)
-	}
-	slices.SortFunc(records, func(a, b *record) int { return strings.Compare(a.ID, b.ID) })
-	all := make([]Entry, len(records))
-	for i, rec := range records {
-		all[i] = rec.Entry
-		all[i].WarmupLeft = max(0, rec.WarmupLeft-now.Sub(rec.receivedAt))
+		e := rec.Entry
+		e.WarmupLeft = max(0, e.WarmupLeft-now.Sub(rec.receivedAt))
+		all = append(all, e)
 	}
+	slices.SortFunc(all, func(a, b Entry) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
 	return all
 }
 
