review: check-ins cut at the end of a planned stop

Case 1, rule LOST: a request that is accepted 3.6 to 3.8 s after SIGTERM and takes 1.95 s is passed on, and its client's connection is closed 5.58 s after SIGTERM, 0.42 s before the end of the grace period.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripted cases.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-harness ./review/harness
