--- a/review/harness/env.go
+++ b/review/harness/env.go
@@ -29,6 +29,9 @@
 // metricsPort is where every entry process serves its metrics.
 const metricsPort = 9180
 
+// maxMachines is the largest number of machines in a case.
+const maxMachines = 12
+
 func newEnv(recordPath string, trouble bool) (*env, error) {
 	r, err := newRecord(recordPath)
 	if err != nil {
@@ -51,7 +54,7 @@
 }
 
 func (e *env) portsAreFree() bool {
-	for i := 1; i <= 9; i++ {
+	for i := 1; i <= maxMachines; i++ {
 		for _, p := range []int{e.ports.peer, e.ports.ready, e.ports.control, e.ports.directory, e.ports.front, metricsPort} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", e.net, i, p))
 			if err != nil {
