review: an order to end an evacuation is carried out twice

Case 1, rule EVAC: an order that a process sends to a second replica, because the first one doesn't answer, is carried out again when the first one goes on, and undoes an evacuation that was acknowledged meanwhile.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,13 +28,14 @@
 	"cold":   playCold,
 	"leave":  playLeave,
 	"ghost":  playGhost,
+	"stale":  playStale,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-harness stop|poison|left|cold|leave|ghost RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-harness stop|poison|left|cold|leave|ghost|stale RECORD")
 		return exitNotRun
 	}
 	e, err := newEnv(os.Args[2], os.Getenv("TROUBLE") != "0")
