--- a/review/harness/case_cold.go
+++ b/review/harness/case_cold.go
@@ -14,10 +14,11 @@
 
 // playCold turns a server cold while it serves. The servers of the service don't tell their load. Rule FAILBACK.
 func playCold(e *env) (bool, error) {
-	if err := e.startMachines(brambati, 4); err != nil {
+	if err := e.startMachines(brambati, 6); err != nil {
 		return false, err
 	}
-	servers, err := e.startServers("sportello-stato", 4, serverKind{slots: 3, queue: 12, work: 30 * time.Millisecond})
+	// One server in each zone, which the two machines of that zone prefer.
+	servers, err := e.startServers("sportello-stato", 3, serverKind{slots: 3, queue: 12, work: 30 * time.Millisecond})
 	if err != nil {
 		return false, err
 	}
@@ -33,7 +34,7 @@
 	var clients sync.WaitGroup
 	for _, m := range e.machines {
 		clients.Go(func() {
-			for tick := time.NewTicker(33 * time.Millisecond); ; {
+			for tick := time.NewTicker(40 * time.Millisecond); ; {
 				select {
 				case <-tick.C:
 					clients.Go(func() { e.exchange(m, newRequest(http.MethodGet, "/stato/a", 1200*time.Millisecond)) })
