--- a/review/harness/case_cold.go
+++ b/review/harness/case_cold.go
@@ -67,6 +67,7 @@
 	time.Sleep(warmup + time.Second)
 	close(stop)
 	clients.Wait()
+	e.record.note("callouts whose outcome their clients don't know: %d", unknown.Load())
 	bound := warmupPerSecond*warmupFactor + warmupSlack
 	most := 0
 	if e.trouble {
