edge, entrynode: a planned stop accepts only requests that can end in time

Cause: requests were accepted for 62 % of the grace period and connections closed at 93 % of it, whatever time the requests could take. Ruled out: pipeline.Server waited for all of them until its deadline, and the upstreams had not broken off.

Change: StopPlan compares a request's deadline with the end of the grace period. What cannot end in time is refused as not run (1014, Retry-After 0). Repeatable requests are accepted for the first 3 s in any case. The end moves from 93 % to 0.2 s before the end; requests from before SIGTERM that still run then get 2001 instead of a closed connection.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -109,6 +109,8 @@
 				return a, nil
 			}
 			return nil, c.expiryFailure(ctx)
+		case <-c.g.finished:
+			return nil, &stoppedAfterStart
 		}
 	}
 	if c.mayHaveRun && lastFailure.code < firstMayHaveRun {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -320,7 +320,7 @@
 	is.Equal(send(t, g, "/idempotent/1", nil).Code, 200)
 	is.Equal(send(t, g, "/unknown/1", nil).Code, http.StatusNotFound)
 	is.Equal(send(t, g, "/idempotent/1", func(r *http.Request) { r.Host = "other" }).Code, http.StatusNotFound)
-	g.Close()
+	g.Stop(NewStopPlan(time.Now(), time.Minute, time.Minute))
 	w := send(t, g, "/idempotent/1", nil)
 	is.Equal(w.Code, 200)
 	is.Equal(w.Header().Get("Connection"), "close")
--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -16,6 +16,8 @@
 	message string
 	// retry reports whether the client may retry after retryAfter.
 	retry bool
+	// elsewhere is set if another gateway may serve the request, so that the client may retry at once.
+	elsewhere bool
 	// status replaces the usual HTTP status of the code. Zero means the usual one.
 	status int
 }
@@ -31,6 +33,8 @@
 	malformedBody      = failure{code: resultcode.MalformedRequest, message: "the request body could not be read"}
 	bufferFull         = failure{code: resultcode.QueueFull, message: "the gateway holds too many request bodies", retry: true}
 	deadlinePassed     = failure{code: resultcode.DeadlineBeforeStart, message: "the deadline had passed on arrival"}
+	shuttingDown       = failure{code: resultcode.ShuttingDown, message: "the gateway stops before the request would have to end", retry: true, elsewhere: true}
+	stoppedAfterStart  = failure{code: resultcode.OutcomeUnknown, message: "the gateway stopped after the request was sent"}
 	outcomeUnknown     = failure{code: resultcode.OutcomeUnknown, message: "the upstream failed after it may have started the request"}
 	connectionCut      = failure{code: resultcode.UpstreamConnectionCut, message: "the connection to the upstream was lost"}
 	brokenResponse     = failure{code: resultcode.BrokenResponse, message: "the upstream's answer was not complete or not valid"}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -18,8 +18,11 @@
 	cfg    Config
 	routes atomic.Pointer[routeConfig]
 	// configured is closed when the first configuration has arrived.
-	configured           chan struct{}
-	closing              atomic.Bool
+	configured chan struct{}
+	// stopPlan is nil until the start of a graceful shutdown.
+	stopPlan atomic.Pointer[StopPlan]
+	// finished is closed at the end of the stop plan.
+	finished             chan struct{}
 	bufferedRequestBytes atomic.Int64
 	pacer                *pacer
 	failures             *failureReports
@@ -46,7 +49,7 @@
 	}
 	failures := newFailureReports()
 	return &Gateway{
-		cfg: cfg, configured: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
+		cfg: cfg, configured: make(chan struct{}), finished: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
 		failures: failures, crashes: newCrashes(cfg, failures), limits: newLimitReports(),
 		coldOwners: placement.NewOwners(), limitSenders: placement.NewSenders(),
 	}
@@ -158,11 +161,15 @@
 }
 
 // Ready reports whether the gateway has a configuration and is not shutting down.
-func (g *Gateway) Ready() bool { return g.routes.Load() != nil && !g.closing.Load() }
+func (g *Gateway) Ready() bool { return g.routes.Load() != nil && g.stopPlan.Load() == nil }
 
-// Close makes responses close the clients' connections, so that clients connect to another gateway. Requests are still
-// served.
-func (g *Gateway) Close() { g.closing.Store(true) }
+// Stop starts a graceful shutdown. From now on, responses close the clients' connections, so that clients connect to another
+// gateway. Requests that the plan does not accept are refused, and those that are still running at its end get a response
+// that says so. It must be called only once.
+func (g *Gateway) Stop(plan StopPlan) {
+	g.stopPlan.Store(&plan)
+	time.AfterFunc(time.Until(plan.FinishBy), func() { close(g.finished) })
+}
 
 func (g *Gateway) service(name string) *service {
 	g.mu.Lock()
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -17,7 +17,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{g: g, w: w, r: r, arrived: time.Now(), id: r.Header.Get(g.cfg.Protocol.RequestIDHeader)}
-	if g.closing.Load() {
+	if g.stopPlan.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if f := c.prepare(); f != nil {
@@ -54,6 +54,9 @@
 	if c.timeLeft() <= 0 {
 		return &deadlinePassed
 	}
+	if plan := c.g.stopPlan.Load(); plan != nil && !plan.Accepts(c.repeatable(), c.arrived, c.deadline) {
+		return &shuttingDown
+	}
 	if f := c.readBody(config.maxBody); f != nil {
 		return f
 	}
@@ -177,7 +180,11 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if f.retry {
-		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		pause := retryAfter
+		if f.elsewhere {
+			pause = 0
+		}
+		header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 	}
 	status := info.HTTPStatus
 	if f.status != 0 {
@@ -219,6 +226,10 @@
 	if f != nil {
 		fields = append(fields, zap.Uint16("code", uint16(f.code)), zap.Bool("may_have_run", c.mayHaveRun), zap.String("fingerprint", c.fingerprint))
 	}
+	if plan := c.g.stopPlan.Load(); plan != nil && f != nil && !c.deadline.IsZero() {
+		fields = append(fields, zap.Float64("stops_in_ms", float64(time.Until(plan.FinishBy).Microseconds())/1000),
+			zap.Float64("deadline_in_ms", float64(c.timeLeft().Microseconds())/1000))
+	}
 	if c.withheld > 0 {
 		fields = append(fields, zap.Int("withheld", c.withheld))
 	}
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -42,6 +42,8 @@
 		}, rejected},
 		{resultcode.RequestLimitReached, "/once/1", succeed, nil, nil, common + " withheld"},
 		{resultcode.DeadlineBeforeStart, "/once/1", succeed, func(r *http.Request) { r.Header.Set(testDeadline, "0") }, nil, common},
+		{resultcode.ShuttingDown, "/once/1", succeed, nil, nil, common + " stops_in_ms deadline_in_ms"},
+		{resultcode.OutcomeUnknown, "/idempotent/1", hang, nil, nil, sent + " stops_in_ms deadline_in_ms"},
 		{resultcode.RequestTooLarge, "/once/1", succeed, func(r *http.Request) { r.ContentLength = 1 << 40 }, nil, common},
 		{resultcode.MalformedRequest, "/once/1", succeed, func(r *http.Request) { r.Body = http.MaxBytesReader(nil, r.Body, 1) }, nil, common},
 		{resultcode.UpstreamConnectionCut, "/once/1", cutConnection, nil, nil, sent},
@@ -63,6 +65,9 @@
 			if test.code == resultcode.RequestLimitReached {
 				g.RecordReportedLimits(map[string]float64{"a": 1}, time.Now())
 			}
+			if test.code == resultcode.ShuttingDown || test.code == resultcode.OutcomeUnknown {
+				g.Stop(NewStopPlan(time.Now(), time.Second, time.Second)) // ends before the requests' deadlines
+			}
 			send(t, g, test.path, test.editRequest)
 			var found bool
 			for _, l := range lines.All() {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -43,11 +43,12 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes bounds a request body regardless of the configuration, because bodies are buffered in memory.
 	maxBodyBytes = 16 << 20
-	// serveFraction is the fraction of the grace period after SIGTERM during which requests are still served, for
-	// clients whose cached addresses include this process. Requests in flight may complete until finishFraction of the
-	// grace period.
-	serveFraction  = 0.62
-	finishFraction = 0.93
+	// serveFraction is the fraction of the grace period after SIGTERM during which connections are still accepted, for
+	// clients whose cached addresses include this process.
+	serveFraction = 0.62
+	// stragglerTime is how long most clients may still use this process after SIGTERM: twice the time for which they cache
+	// its address, because some exceed that time.
+	stragglerTime = 2 * addressTTL
 )
 
 // Adapter implements the external interfaces of a Node: protocol, API handlers and settings.
@@ -174,12 +175,13 @@
 	n.log.Info("stopping", zap.Duration("grace", grace))
 	n.leaving.Store(true)
 	n.cluster.SetState(roster.Leaving)
-	n.gateway.Close()
+	plan := edge.NewStopPlan(startedAt, grace, stragglerTime)
+	n.gateway.Stop(plan)
 	select {
 	case <-time.After(time.Duration(serveFraction * float64(grace))):
 	case <-ctx.Done():
 	}
-	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(time.Duration(finishFraction*float64(grace))))
+	ctx, cancel := context.WithDeadline(ctx, plan.CloseAt)
 	defer cancel()
 	if err := entry.Shutdown(ctx); err != nil {
 		n.log.Warn("requests still in flight at the end of the grace period", zap.Error(err))
