routingstate, cluster: a late copy of an order has no effect after a newer order

Cause: a process without a replica sends an order to the next replica after 450 ms, while the first copy still waits at the frozen one. Orders about zones had neither an id nor a version, so the state machine took the copy for a new order. The same happens when the operator sends the order to another VM because the first one is frozen.

Change: an order names the log index of the last accepted order about the zone that its receiver knew of, and is rejected if another one was accepted since. Every accepted order counts, also one that changes nothing. The receiver tries again on top of the newer order only while its caller waits. Ids would not help where the operator repeats the order, and an age limit would need clocks that agree. Orders in logs of earlier releases are accepted as before.

--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -11,6 +11,7 @@
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/replog"
+	"github.com/bramleypick/bramleypick/resultcode"
 	"github.com/bramleypick/bramleypick/routingstate"
 )
 
@@ -22,6 +23,37 @@
 // Submit appends a change to the log and returns its result once it is committed. After an error, the change may or may
 // not have taken effect.
 func (c *Cluster) Submit(ctx context.Context, command routingstate.Command) (routingstate.Result, error) {
+	if command.Evacuate != nil {
+		return c.submitEvacuation(ctx, *command.Evacuate)
+	}
+	return c.submit(ctx, command)
+}
+
+// submitEvacuation submits an order on top of the last accepted one about the zone. Copies of it that arrive after a later
+// order are rejected. It starts again from the newer order only while the caller still waits: afterwards the caller may have
+// sent the order elsewhere, and another one after it.
+func (c *Cluster) submitEvacuation(ctx context.Context, e routingstate.Evacuation) (routingstate.Result, error) {
+	receivedAt := time.Now()
+	after := c.View().LastOrders[e.Zone]
+	for {
+		e.After = &after
+		result, err := c.submit(ctx, routingstate.Command{Evacuate: &e})
+		if err != nil || result.Code != resultcode.VersionConflict {
+			return result, err
+		}
+		c.log.Info("another order about the zone was accepted first", zap.String("zone", e.Zone), zap.Bool("end", e.End),
+			zap.Uint64("after", after), zap.Uint64("last_order", result.LastOrder), zap.Float64("ms", milliseconds(receivedAt)))
+		if err := ctx.Err(); err != nil {
+			return routingstate.Result{}, errors.Wrap(err, "the caller no longer waits")
+		}
+		if time.Since(receivedAt) > orderTimeout {
+			return routingstate.Result{}, errors.Wrap(ErrControlUnavailable, "the caller may have sent the order again")
+		}
+		after = result.LastOrder
+	}
+}
+
+func (c *Cluster) submit(ctx context.Context, command routingstate.Command) (routingstate.Result, error) {
 	data, err := command.Encode()
 	if err == nil {
 		data, err = compress(data)
@@ -72,6 +104,9 @@
 	// serveTimeout bounds the work of a replica on one request: a proposal, a read, a call that it forwards to the
 	// leader, or storing an announcement on the other voters.
 	serveTimeout = 850 * time.Millisecond
+	// orderTimeout bounds the time for which an operator is assumed to wait for the response to an order. Operators turn to
+	// another process after a second.
+	orderTimeout = 900 * time.Millisecond
 )
 
 // serveLeaderRequest serves a request of this process or of a linked one on this process's replica.
--- a/routingstate/command.go
+++ b/routingstate/command.go
@@ -19,6 +19,10 @@
 type Evacuation struct {
 	Zone string `cbor:"1,keyasint"`
 	End  bool   `cbor:"2,keyasint,omitempty"`
+	// After is the index of the last accepted order about the zone that the process which received this order knew of. The
+	// order is rejected if another one was accepted since, so that a copy that is held up on its way has no effect later. It
+	// is nil in orders of earlier releases, which are always accepted.
+	After *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Result is the outcome of a Command.
@@ -27,6 +31,8 @@
 	Message string          `cbor:"2,keyasint,omitempty"`
 	// Index is the log index of the state that contains the change.
 	Index uint64 `cbor:"3,keyasint,omitempty"`
+	// LastOrder is the index of the last accepted order about the zone, if an evacuation was rejected because of it.
+	LastOrder uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the encoding of the command for the log.
--- a/routingstate/machine.go
+++ b/routingstate/machine.go
@@ -110,7 +110,7 @@
 	if c.Version <= current {
 		return Result{Code: resultcode.InvalidConfiguration, Message: "version: must be above the current version"}
 	}
-	m.view.Store(&View{Index: index, Config: c, Evacuated: view.Evacuated})
+	m.view.Store(&View{Index: index, Config: c, Evacuated: view.Evacuated, LastOrders: view.LastOrders})
 	m.accepted = append(m.accepted, acceptedChange{Version: c.Version, Digest: digest})
 	if len(m.accepted) > maxAcceptedChanges {
 		m.accepted = m.accepted[1:]
@@ -134,24 +134,43 @@
 	return false
 }
 
+// applyEvacuation accepts an order also if the zone is in that state already: it must still invalidate the copies of earlier
+// orders.
 func (m *Machine) applyEvacuation(index uint64, e Evacuation) Result {
 	view := m.View()
-	if view.Evacuated[e.Zone] != e.End {
-		return Result{Code: resultcode.OK, Index: view.Index}
+	last, recorded := view.LastOrders[e.Zone]
+	if e.After != nil && recorded && *e.After != last {
+		return Result{Code: resultcode.VersionConflict, Message: "another order about the zone was accepted", LastOrder: last}
+	}
+	next := View{Index: index, Config: view.Config, Evacuated: view.Evacuated, LastOrders: view.LastOrders}
+	changesZone := view.Evacuated[e.Zone] == e.End
+	if changesZone {
+		next.Evacuated = cloneMap(view.Evacuated)
+		if e.End {
+			delete(next.Evacuated, e.Zone)
+		} else {
+			next.Evacuated[e.Zone] = true
+		}
 	}
-	evacuated := maps.Clone(view.Evacuated)
-	if evacuated == nil {
-		evacuated = map[string]bool{}
+	if e.After != nil {
+		next.LastOrders = cloneMap(view.LastOrders)
+		next.LastOrders[e.Zone] = index
 	}
-	if e.End {
-		delete(evacuated, e.Zone)
-	} else {
-		evacuated[e.Zone] = true
+	if !changesZone && e.After == nil {
+		return Result{Code: resultcode.OK, Index: view.Index}
 	}
-	m.view.Store(&View{Index: index, Config: view.Config, Evacuated: evacuated})
+	m.view.Store(&next)
 	return Result{Code: resultcode.OK, Index: index}
 }
 
+// cloneMap returns a copy of m that is not nil.
+func cloneMap[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return maps.Clone(m)
+}
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	data, err := cbor.Marshal(snapshot{View: m.View(), Accepted: m.accepted})
--- a/routingstate/machine_test.go
+++ b/routingstate/machine_test.go
@@ -122,3 +122,49 @@
 	is.True(restored.Restore([]byte("x")) != nil)
 	is.Equal(restored.View(), m.View()) // unchanged by a snapshot that cannot be decoded
 }
+
+// Guards against a copy of an order that takes effect after a later order, and against an order that has no effect on later
+// copies because the zone was in that state already.
+func TestDelayedOrders(t *testing.T) {
+	order := func(end bool, after uint64) routingstate.Command {
+		return routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z", End: end, After: &after}}
+	}
+	unconditional := func(end bool) routingstate.Command {
+		return routingstate.Command{Evacuate: &routingstate.Evacuation{Zone: "z", End: end}}
+	}
+	const start, end = false, true
+	for _, test := range []struct {
+		description string
+		commands    []routingstate.Command // at the indexes 1, 2, ...
+		code        resultcode.Code        // of the last command
+		evacuated   bool                   // afterwards
+	}{
+		{"first order", []routingstate.Command{order(start, 0)}, resultcode.OK, true},
+		{"copy of the first order", []routingstate.Command{order(start, 0), order(start, 0)}, resultcode.VersionConflict, true},
+		{"later order", []routingstate.Command{order(start, 0), order(end, 1)}, resultcode.OK, false},
+		{"copy after a later order", []routingstate.Command{order(start, 0), order(end, 1), order(start, 0)}, resultcode.VersionConflict, false},
+		{"copy after two later orders", []routingstate.Command{order(start, 0), order(end, 1), order(start, 2), order(end, 1)}, resultcode.VersionConflict, true},
+		{"copy after an order that changed nothing", []routingstate.Command{order(start, 0), order(start, 1), order(end, 1)}, resultcode.VersionConflict, true},
+		{"unknown earlier order", []routingstate.Command{order(start, 7)}, resultcode.OK, true},
+		{"order of an earlier release", []routingstate.Command{order(start, 0), unconditional(end)}, resultcode.OK, false},
+		{"after an order of an earlier release", []routingstate.Command{unconditional(start), order(end, 0)}, resultcode.OK, false},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			m := routingstate.New()
+			var index uint64
+			var code resultcode.Code
+			for _, c := range test.commands {
+				code = apply(t, m, &index, c)
+			}
+			is.Equal(code, test.code)
+			is.Equal(m.View().Evacuated["z"], test.evacuated)
+			data, err := m.Snapshot()
+			is.NoErr(err)
+			restored := routingstate.New()
+			is.NoErr(restored.Restore(data))
+			is.Equal(restored.View().Evacuated["z"], test.evacuated)
+			is.Equal(restored.View().LastOrders, m.View().LastOrders)
+		})
+	}
+}
--- a/routingstate/view.go
+++ b/routingstate/view.go
@@ -15,6 +15,8 @@
 	Config *routing.Config `cbor:"2,keyasint,omitempty"`
 	// Evacuated holds the evacuated zones. Their upstreams get no requests.
 	Evacuated map[string]bool `cbor:"3,keyasint,omitempty"`
+	// LastOrders holds, for each zone, the log index of the last accepted Evacuation with a value of After.
+	LastOrders map[string]uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the encoding of the view.
