cluster: drains and deregistrations are acknowledged once they are on disk

Cause: the acknowledgement was given once a majority held the announcement in memory, and the registry was saved every 500 ms. After the restart nothing corrects the older file: a deregistration is not repeated, and upstreams that report no load are not probed.

Change: a voter counts towards the majority only once the announcement is on its disk. Departures that arrive together are saved together, at most every 50 ms; a repeated announcement of a saved one costs no write.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -39,6 +39,7 @@
 	// publishSignal wakes publish when there may be updates for subscribers.
 	publishSignal chan struct{}
 	viewFetches   chan *nodelink.Link
+	saveRequests  chan chan<- error // see awaitSaved
 
 	mu                sync.Mutex
 	self              roster.Node
@@ -64,7 +65,8 @@
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), publishSignal: make(chan struct{}, 1), viewFetches: make(chan *nodelink.Link, 16),
-		dialed: make(map[string]*nodelink.Link), advertisedIndexes: make(map[*nodelink.Link]uint64),
+		saveRequests: make(chan chan<- error, maxSaveRequests),
+		dialed:       make(map[string]*nodelink.Link), advertisedIndexes: make(map[*nodelink.Link]uint64),
 		dialers: make(map[string]context.CancelFunc), subscribers: make(map[*nodelink.Link]*subscriber), pending: newPendingChanges(),
 		pendingLimits: make(limits),
 	}
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -207,7 +207,7 @@
 		}
 		if m == methodStore {
 			c.merge(e)
-			return nil, nil
+			return nil, c.awaitSaved(ctx)
 		}
 		return nil, c.storeAnnouncement(ctx, r, e)
 	case methodSubmit, methodRead, methodViewIndex:
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -14,8 +14,8 @@
 	methodNode             nodelink.Method = 1  // one-way, to the dialed process: roster.Node of the dialing process
 	methodUpdate           nodelink.Method = 2  // one-way, from the dialed process: update
 	methodReplog           nodelink.Method = 3  // one-way, between replicas: replog.Message
-	methodAnnounce         nodelink.Method = 4  // call to a replica: registry.Entry; replied to once it is stored (a drain or deregistration: by a majority)
-	methodStore            nodelink.Method = 5  // call between replicas: registry.Entry; replied to once it is merged
+	methodAnnounce         nodelink.Method = 4  // call to a replica: registry.Entry; replied to once it is stored (a drain or deregistration: on the disks of a majority)
+	methodStore            nodelink.Method = 5  // call between replicas: registry.Entry; replied to once it is on disk
 	methodSubmit           nodelink.Method = 6  // call to a replica: leaderRequest; the reply is a routingstate.Result
 	methodRead             nodelink.Method = 7  // call to a replica: leaderRequest; the reply is the newest view, compressed
 	methodView             nodelink.Method = 8  // call to a replica: viewRequest; the reply is a viewReply
--- a/internal/cluster/registryfile.go
+++ b/internal/cluster/registryfile.go
@@ -16,14 +16,19 @@
 const (
 	registryFile     = "upstreams"
 	registryTempFile = "upstreams.new"
-	// saveInterval bounds how often the registry is saved.
+	// saveInterval is the time after which changes of the registry are saved.
 	saveInterval = 500 * time.Millisecond
+	// minSaveInterval bounds how often the registry is saved when upstreams drain or end. All changes in between are saved
+	// together: when a zone is emptied, its upstreams drain within seconds.
+	minSaveInterval = 50 * time.Millisecond
+	// maxSaveRequests bounds the queue of drains and deregistrations that wait to be saved.
+	maxSaveRequests = 256
 )
 
 // persistRegistry loads the upstreams saved by the previous process and saves them when they change, until ctx ends.
-// Without it, a deployment that restarts as a whole would have no upstreams until each has announced itself again. The
-// loaded entries may be out of date by saveInterval. That is acceptable: a draining upstream reports this in its health
-// response, and an upstream that took over another's address rejects requests that name the other.
+// Without it, a deployment that restarts as a whole would have no upstreams until each has announced itself again. Drains
+// and deregistrations are saved before they are acknowledged, because the upstream may not repeat them. Other changes are
+// saved within saveInterval.
 func (c *Cluster) persistRegistry(ctx context.Context, fsys vfs.FS) {
 	entries, err := loadRegistry(fsys, c.cfg.DataDir)
 	if err != nil {
@@ -34,20 +39,51 @@
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
 	for {
+		var waiting []chan<- error
 		select {
 		case <-ticker.C:
+		case request := <-c.saveRequests:
+			waiting = append(waiting, request)
 		case <-ctx.Done():
 			return
 		}
-		revision := c.registry.Revision()
-		if revision == saved {
-			continue
+		for range len(c.saveRequests) {
+			waiting = append(waiting, <-c.saveRequests)
 		}
-		if err := saveRegistry(fsys, c.cfg.DataDir, c.registry.All(time.Now())); err != nil {
-			c.log.Warn("failed to save the upstreams", zap.Error(err))
-			continue
+		var err error
+		if revision := c.registry.Revision(); revision != saved { // read before the entries
+			if err = saveRegistry(fsys, c.cfg.DataDir, c.registry.All(time.Now())); err == nil {
+				saved = revision
+			} else {
+				c.log.Warn("failed to save the upstreams", zap.Int("waiting", len(waiting)), zap.Error(err))
+			}
 		}
-		saved = revision
+		for _, request := range waiting {
+			request <- err
+		}
+		if len(waiting) > 0 {
+			select {
+			case <-time.After(minSaveInterval):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// awaitSaved returns nil once all changes of the registry before the call are on this process's disk.
+func (c *Cluster) awaitSaved(ctx context.Context) error {
+	saved := make(chan error, 1)
+	select {
+	case c.saveRequests <- saved:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "queue the upstreams to be saved")
+	}
+	select {
+	case err := <-saved:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "save the upstreams")
 	}
 }
 
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -164,7 +164,8 @@
 }
 
 // Announce merges the announcement of an upstream. For a drain or a deregistration, it returns nil only after a
-// majority of the voters has stored the announcement, so that every process that reaches all replicas receives it.
+// majority of the voters has the announcement on disk, so that every process that reaches all replicas receives it, and
+// it survives a restart of all of them.
 func (c *Cluster) Announce(ctx context.Context, e registry.Entry) error {
 	e = c.completeDeregistration(e)
 	if r := c.runningReplica(); r != nil {
@@ -204,26 +205,23 @@
 }
 
 // storeAnnouncement merges an announcement. For a drain or a deregistration, it returns only after a majority of the
-// voters has stored the announcement.
+// voters has the announcement on disk.
 func (c *Cluster) storeAnnouncement(ctx context.Context, r *replica, e registry.Entry) error {
 	e = c.completeDeregistration(e)
 	c.merge(e)
 	if e.State == registry.Ready {
 		return nil
 	}
-	members := r.node.Status().Membership
-	need := len(members.Voters)/2 + 1
-	if len(members.Voters) == 0 {
+	voters := r.node.Status().Membership.Voters
+	if len(voters) == 0 {
 		return errors.Wrap(ErrControlUnavailable, "no control group yet")
 	}
-	if members.IsVoter(r.id) {
-		need--
-	}
-	return c.storeOnVoters(ctx, r, e, members.Voters, need)
+	return c.storeOnVoters(ctx, r, e, voters)
 }
 
-// storeOnVoters sends an announcement to the other voters and returns nil once need of them have stored it.
-func (c *Cluster) storeOnVoters(ctx context.Context, r *replica, e registry.Entry, voters []replog.NodeID, need int) error {
+// storeOnVoters sends an announcement, which this process has merged, to the other voters. It returns nil once a majority
+// has it on disk.
+func (c *Cluster) storeOnVoters(ctx context.Context, r *replica, e registry.Entry, voters []replog.NodeID) error {
 	body, err := encode(e)
 	if err != nil {
 		return err
@@ -231,13 +229,18 @@
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	results := make(chan error, len(voters))
-	outstanding := 0
+	need, outstanding := len(voters)/2+1, 0
 	for _, id := range voters {
+		if id == r.id {
+			outstanding++
+			go func() { results <- c.awaitSaved(ctx) }()
+			continue
+		}
 		n, known := c.nodes.NodeByReplicaID(uint64(id))
 		c.mu.Lock()
 		l := c.dialed[n.PeerAddress]
 		c.mu.Unlock()
-		if id == r.id || !known || l == nil {
+		if !known || l == nil {
 			continue
 		}
 		outstanding++
@@ -246,13 +249,18 @@
 			results <- err
 		}()
 	}
+	var lastErr error
 	for ; need > 0 && outstanding > 0; outstanding-- {
 		if err := <-results; err == nil {
 			need--
+		} else {
+			lastErr = err
 		}
 	}
 	if need > 0 {
-		return errors.Wrap(ErrControlUnavailable, "no majority holds the announcement")
+		c.log.Warn("no majority stored the announcement", zap.String("upstream", e.ID), zap.Stringer("state", e.State),
+			zap.Int("missing", need), zap.NamedError("last_error", lastErr))
+		return errors.Wrap(ErrControlUnavailable, "no majority has the announcement on disk")
 	}
 	return nil
 }
