registry, cluster, platform: a deregistration applies to the process that sent it

A late copy of a deregistration took a new process of the upstream, started under the same id, out of use for as long as it runs. And a deregistration at a process that does not know the upstream had no effect on those that do, although it was acknowledged.

Cause: deregistrations carried no start time, and their body, which may name it, was not read. cluster filled in what it knew at that moment, or 0.

Change: the body's born is used; without it, the deregistration applies to the process that each registry knows.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -281,6 +281,9 @@
 		{all[1], registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z1", State: registry.Draining, Incarnation: 1, Seq: 2}, registry.Draining},
 		{all[3], registry.Entry{ID: "u", State: registry.Gone}, registry.Gone}, // a deregistration contains only the id
 		{all[2], e, registry.Gone}, // a late announcement
+		{all[0], registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z1", State: registry.Ready, Incarnation: 9, Seq: 1}, registry.Ready},
+		{all[4], registry.Entry{ID: "u", State: registry.Gone, Incarnation: 1}, registry.Ready}, // a late deregistration of the first process
+		{all[3], registry.Entry{ID: "u", State: registry.Gone, Incarnation: 9}, registry.Gone},
 	}
 	for _, step := range steps {
 		eventually(t, "the announcement is acknowledged", func() bool {
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -192,12 +192,13 @@
 	return err
 }
 
-// completeDeregistration fills in the known entry for a deregistration, which contains only the upstream's id.
+// completeDeregistration fills in the known entry for a deregistration, which contains only the upstream's id and possibly the
+// incarnation. A deregistration of another incarnation is returned unchanged.
 func (c *Cluster) completeDeregistration(e registry.Entry) registry.Entry {
 	if e.State != registry.Gone || e.Address != "" {
 		return e
 	}
-	if known, ok := c.registry.Get(e.ID); ok {
+	if known, ok := c.registry.Get(e.ID); ok && (e.Incarnation == 0 || e.Incarnation == known.Incarnation) {
 		known.State = registry.Gone
 		return known
 	}
--- a/registry/entry.go
+++ b/registry/entry.go
@@ -34,6 +34,12 @@
 	return e.Seq > old.Seq
 }
 
+// isAnonymousDeregistration reports whether e is a deregistration that does not say which process of the upstream has ended. It
+// applies to the one that is known.
+func (e *Entry) isAnonymousDeregistration() bool {
+	return e.State == Gone && e.Incarnation == 0 && e.Address == ""
+}
+
 // differsMaterially reports whether e, which supersedes old, differs from it in a field that must be propagated. These are all
 // fields except the sequence number and the warm-up time.
 func (e *Entry) differsMaterially(old *Entry) bool {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -35,6 +35,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.entries[e.ID]
+	if old != nil && e.isAnonymousDeregistration() {
+		e = old.Entry
+		e.State = Gone
+	}
 	if old != nil && !e.supersedes(&old.Entry) {
 		return nil
 	}
