registry, cluster, platform: announcements that are not valid are rejected

An announcement with an id that is not valid UTF-8 was accepted, and no other process could read an update that contained it: a process that starts later learned of no upstream at all, and a restarted replica could not read its saved registry.

Cause: the id is taken from the path unchecked; CBOR encodes it as text, and its decoder rejects the whole message.

Change: entries are validated where they come in, and left out where they arrive from other processes or files. Messages between processes are decoded also if a text is not valid UTF-8.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -418,3 +418,27 @@
 	is.Equal(count(all[0].cfg.Self.Name, "u"), 0)
 	is.Equal(count(all[4].cfg.Self.Name, "v"), 0)
 }
+
+// Guards against an announcement whose text is not valid UTF-8 and that keeps the other processes from reading the
+// announcements sent along with it.
+func TestAnnouncementWithInvalidText(t *testing.T) {
+	is := is.New(t)
+	all := startDeployment(t, 3, 1)
+	eventually(t, "every replica votes", func() bool { return voterCount(all[0]) == 3 })
+	announce := func(id string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return all[0].Announce(ctx, registry.Entry{ID: id, Service: "s", Address: "10.0.0." + strconv.Itoa(len(id)) + ":80", Zone: "z1", State: registry.Ready, Incarnation: 1, Seq: 1})
+	}
+	invalid := announce("u\xff")
+	eventually(t, "the announcement is acknowledged", func() bool { return announce("u") == nil })
+	late := startProcess(t, Config{Self: freePeer(t, 90), Seeds: all[0].cfg.Seeds, Log: zap.NewNop()})
+	for _, p := range append(all, late) {
+		eventually(t, "the valid announcement reaches every process", func() bool {
+			_, known := p.registry.Get("u")
+			return known
+		})
+	}
+	is.True(invalid != nil)
+	is.Equal(len(late.Upstreams()), 1)
+}
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -155,13 +155,20 @@
 // upstreams at once, and other processes have logged their changes.
 const maxLoggedEntries = 32
 
-// merge merges announcements into the registry and queues the changed entries for all subscribers. It holds mu during
+// merge merges announcements into the registry and queues the changed entries for all subscribers. Entries that are not valid
+// are left out. It holds mu during
 // both, so that the newer of two concurrent announcements is queued last.
 func (c *Cluster) merge(entries ...registry.Entry) {
 	now := time.Now()
 	var changed []registry.Entry
+	invalid := 0
+	var lastErr error
 	c.mu.Lock()
 	for _, e := range entries {
+		if err := e.Validate(); err != nil {
+			invalid, lastErr = invalid+1, errors.Wrapf(err, "upstream %q", e.ID)
+			continue
+		}
 		for _, entry := range c.registry.Merge(e, now) {
 			c.pending.entries[entry.ID] = entry
 			changed = append(changed, entry)
@@ -171,6 +178,9 @@
 		signal(c.publishSignal)
 	}
 	c.mu.Unlock()
+	if invalid > 0 {
+		c.log.Warn("announcements are not valid", zap.Int("upstreams", invalid), zap.NamedError("last_error", lastErr))
+	}
 	if len(changed) == 0 {
 		return
 	}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -79,6 +79,15 @@
 	return data, errors.Wrap(err, "encode message")
 }
 
+// decoder accepts text that is not valid UTF-8, so that one such text does not make the rest of a message unreadable.
+var decoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 func decode(data []byte, message any) error {
-	return errors.Wrap(cbor.Unmarshal(data, message), "decode message")
+	return errors.Wrap(decoder.Unmarshal(data, message), "decode message")
 }
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -167,6 +167,9 @@
 // majority of the voters has the announcement on disk, so that every process that reaches all replicas receives it, and
 // it survives a restart of all of them.
 func (c *Cluster) Announce(ctx context.Context, e registry.Entry) error {
+	if err := e.Validate(); err != nil {
+		return err
+	}
 	e = c.completeDeregistration(e)
 	if r := c.runningReplica(); r != nil {
 		return c.storeAnnouncement(ctx, r, e)
