edge, platform: numbers in headers and timeouts of routes cannot overflow

What an overflow gives differs between processors.

Callers that send a deadline of NaN got 504 (deadline_before_start). A deadline of 1e300 or a route's timeout of that size can give the same on x86-64, where the conversion is negative; that was not run here.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -39,7 +39,7 @@
 func (c *call) repeatable() bool { return c.route.Kind.Repeatable() }
 
 func (c *call) target() time.Duration {
-	return time.Duration(c.route.TargetLatencyMillis * float64(time.Millisecond))
+	return milliseconds(c.route.TargetLatencyMillis)
 }
 
 func (c *call) requirements() balancing.Requirements {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -214,6 +214,31 @@
 	}
 }
 
+// Guards against a request that is refused, or waits without end, because its deadline or timeout is a number that overflows.
+func TestOverflowingTimes(t *testing.T) {
+	for _, test := range []struct {
+		deadline      string
+		timeoutMillis float64
+		status        int
+	}{
+		{"1e300", 5000, http.StatusOK},
+		{"NaN", 5000, http.StatusOK},
+		{"5000", 1e300, http.StatusOK},
+		{"1e300", 1e300, http.StatusOK},
+		{"-1e300", 5000, http.StatusGatewayTimeout},
+	} {
+		t.Run(test.deadline, func(t *testing.T) {
+			is := is.New(t)
+			state := clusterState(newUpstream(t, "a", succeed).entry())
+			for i := range state.View.Config.Routes {
+				state.View.Config.Routes[i].TimeoutMillis, state.View.Config.Routes[i].TargetLatencyMillis = test.timeoutMillis, test.timeoutMillis
+			}
+			w := send(t, newGateway(t, state), "/once/1", func(r *http.Request) { r.Header.Set(testDeadline, test.deadline) })
+			is.Equal(w.Code, test.status)
+		})
+	}
+}
+
 // Guards against an upstream that keeps working for a client that has disconnected.
 func TestClientDisconnects(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -87,14 +88,23 @@
 func (c *call) setDeadline() {
 	timeout := defaultTimeout
 	if c.route.TimeoutMillis > 0 {
-		timeout = time.Duration(c.route.TimeoutMillis * float64(time.Millisecond))
+		timeout = milliseconds(c.route.TimeoutMillis)
 	}
-	if left, err := strconv.ParseFloat(c.r.Header.Get(c.g.cfg.Protocol.DeadlineHeader), 64); err == nil {
-		timeout = min(timeout, time.Duration(left*float64(time.Millisecond)))
+	if left, err := strconv.ParseFloat(c.r.Header.Get(c.g.cfg.Protocol.DeadlineHeader), 64); err == nil && !math.IsNaN(left) {
+		timeout = min(timeout, milliseconds(left))
 	}
 	c.deadline = c.arrived.Add(timeout)
 }
 
+// maxMillis limits times from headers and from the configuration, in ms. The conversion of larger numbers overflows, and its
+// result differs between processors.
+const maxMillis = 24 * 60 * 60 * 1000
+
+// milliseconds converts a number that is not NaN.
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxMillis) * float64(time.Millisecond))
+}
+
 // readBody reads the request body into memory, so that it can be sent more than once and a slow client does not occupy
 // an upstream.
 func (c *call) readBody(limit int64) *failure {
