upstreamconn, edge: a request is not sent twice on one connection

A client can be told "not run" (503, code 1012) for a request that its upstream runs: the request got 421 from an address that had been taken over, was sent again to the new upstream on the same connection, and that upstream wrote the 421 once more.

Cause: all attempts for a client request have the client's id, so the echo cannot tell a second response to the first attempt from the response to the second.

Change: a connection remembers the ids of its last 8 requests, and is not reused for a request with one of them.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -79,7 +79,7 @@
 	if !a.call.repeatable() {
 		maxIdle = assumedOpenFor
 	}
-	conn, err := pool.ConnectWithin(a.ctx, maxIdle)
+	conn, err := pool.ConnectWithin(a.ctx, maxIdle, a.call.id)
 	if err != nil {
 		a.err, a.notRun = err, true
 		return
--- a/internal/upstreamconn/exchange.go
+++ b/internal/upstreamconn/exchange.go
@@ -33,6 +33,7 @@
 	t := x.transport
 	x.sentAt = time.Now()
 	x.stop = context.AfterFunc(x.ctx, t.close)
+	t.recordRequest(x.request.Header.Get(t.pool.opts.RequestIDHeader))
 	t.in.total, t.in.err = 0, nil
 	t.out.written, t.out.err = 0, nil
 	x.reader = readers.Get().(*bufio.Reader)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -52,13 +52,14 @@
 	if forceNew {
 		maxIdle = 0
 	}
-	return p.ConnectWithin(ctx, maxIdle)
+	return p.ConnectWithin(ctx, maxIdle, "")
 }
 
 // ConnectWithin is like Connect, but reuses a connection only if it has been idle for less than maxIdle. Zero always opens
-// a new connection.
-func (p *Pool) ConnectWithin(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
-	t, err := p.acquire(maxIdle)
+// a new connection. If a request is sent again with the same id, requestID is that id: the new connection is not one on which
+// a second response to the first attempt could be taken for that to the second. It may be empty.
+func (p *Pool) ConnectWithin(ctx context.Context, maxIdle time.Duration, requestID string) (*Conn, error) {
+	t, err := p.acquire(maxIdle, requestID)
 	if err != nil {
 		return nil, err
 	}
@@ -73,20 +74,22 @@
 }
 
 // acquire returns an idle connection, or nil after it has reserved capacity for a new one.
-func (p *Pool) acquire(maxIdle time.Duration) (*transport, error) {
+func (p *Pool) acquire(maxIdle time.Duration, requestID string) (*transport, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, newError(ErrPoolClosed, nil)
 	}
 	now := time.Now()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		t := p.idle[last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		t := p.idle[i]
 		if now.Sub(t.idleSince) >= maxIdle {
 			break // the remaining ones have been idle longer
 		}
-		p.idle = slices.Delete(p.idle, last, last+1)
+		if t.hasCarried(requestID) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if p.usable(t, now) {
 			p.stats.Reused++
 			return t, nil
--- a/internal/upstreamconn/transport.go
+++ b/internal/upstreamconn/transport.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +13,10 @@
 
 const bufferSize = 4 << 10 // bytes; large enough for a typical header
 
+// recentRequests is the number of requests whose ids a connection remembers. A request is sent again within milliseconds,
+// in which a connection carries a few others at most.
+const recentRequests = 8
+
 // The buffers are pooled, so that idle connections hold none: 20 upstreams with 300 connections each would need 48 MB.
 var (
 	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
@@ -29,6 +34,11 @@
 	closed    bool      // guarded by pool.mu
 	idleSince time.Time // guarded by pool.mu
 
+	// requestIDs are the ids of the last requests. The current exchange writes them; while the connection is idle, they are
+	// guarded by pool.mu.
+	requestIDs [recentRequests]string
+	requests   int
+
 	in  countingReader
 	out countingWriter
 }
@@ -42,6 +52,17 @@
 	return t
 }
 
+// recordRequest records the id of a request before it is sent.
+func (t *transport) recordRequest(id string) {
+	t.requestIDs[t.requests%recentRequests] = id
+	t.requests++
+}
+
+// hasCarried reports whether one of the last requests had the id.
+func (t *transport) hasCarried(id string) bool {
+	return id != "" && slices.Contains(t.requestIDs[:], id)
+}
+
 // close closes the connection immediately. Blocked reads and writes return.
 func (t *transport) close() {
 	t.pool.mu.Lock()
