gateway: a refusal without the echo of the request id is not a promise

The upstream contract says so. The stand-in always echoes.

The new case of TestInvariantNotRunRefusal failed before and passes after.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,13 +27,18 @@
 		return
 	}
 	a.latency = time.Since(a.started)
-	if echo := resp.Header.Get(headerRequestID); echo != "" && echo != a.id {
+	echo := resp.Header.Get(headerRequestID)
+	if echo != "" && echo != a.id {
 		a.rejectResponse(resp, "the response belongs to another request")
 		return
 	}
 	a.report = parseReport(resp.Header)
 	a.service.reportSuspect(a.service.crashGuard.ObserveBootID(a.upstream.ID, a.report.BootID, time.Now()))
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerNotRun) == "1" {
+		if echo == "" { // it may be a second response to an earlier request
+			a.rejectResponse(resp, "the refusal does not name the request")
+			return
+		}
 		a.refused = true
 		a.err = resultcode.Errorf(resultcode.UpstreamRefused, "the upstream did not start the request")
 		_ = resp.Body.Close()
--- a/internal/gateway/notrun_test.go
+++ b/internal/gateway/notrun_test.go
@@ -57,6 +57,13 @@
 				resp.Header.Set(headerRequestID, "other")
 			}))
 		}, (*harness).get, resultcode.BrokenResponse, true},
+		{"not run, without a request id", func(h *harness) { // may be a second refusal of an earlier request
+			h.keepOnly("n1")
+			h.upstream("n1").setServe(respondChanged(http.StatusServiceUnavailable, "", func(resp *http.Response) {
+				notRun(resp)
+				resp.Header.Del(headerRequestID)
+			}))
+		}, (*harness).get, resultcode.BrokenResponse, true},
 		{"deadline passes after the first byte", func(h *harness) { h.serveAll(hang) }, (*harness).get, resultcode.DeadlineAfterStart, true},
 		{"deadline passes in the queue", func(h *harness) {
 			h.keepOnly("n1")
