balancing, edge, cluster: upstreams that say that they leave or want a pause get no requests

- balancing.Exclusion is the one place that says whether an upstream may get a request, and why not: tried, evacuated, leaving, paused, address reassigned, backing off, cold, request limit.
- Server-Leaving in any response, however it ends, excludes that incarnation of the upstream at once, and is stored as a drain on the replicas, so that the other processes and those that start later know it. 421 and health responses of another upstream do not count.
- Retry-After in a 503 is a pause at this gateway, for health requests too.
If no upstream is left, requests are refused at once with the time that is left (1019).
A pause is 10 minutes at most.
- Upstreams of evacuated zones keep their state, so that neither is forgotten when the zone is taken back.

--- a/balancing/choice.go
+++ b/balancing/choice.go
@@ -24,6 +24,7 @@
 	NoUpstream   Decision = 4 // no upstream may get the request
 	Unresponsive Decision = 5 // there are upstreams that might take the request, but none has responded to a probe
 	LimitReached Decision = 6 // the request limits of all upstreams that might take the request are used up
+	AllPaused    Decision = 7 // all upstreams that might take the request have asked for a pause
 )
 
 // Search is the state of the search for an upstream for one request.
@@ -38,8 +39,8 @@
 	Pending bool
 	// RoundOver reports whether the last round has taken so long that the next one may start although probes are pending.
 	RoundOver bool
-	// Withheld are the upstreams that are no candidates because of their request limit.
-	Withheld Withheld
+	// Excluded are the upstreams that are no candidates.
+	Excluded Excluded
 }
 
 // Choice is the result of Choose.
@@ -49,8 +50,8 @@
 	Best Candidate
 	// Probe lists the candidates to probe next.
 	Probe []Candidate
-	// Withheld are the upstreams that were no candidates because of their request limit.
-	Withheld Withheld
+	// Excluded are the upstreams that were no candidates.
+	Excluded Excluded
 }
 
 // Choose decides what to do with a request, given the candidates in the order of Service.Rank. It chooses the best
@@ -58,16 +59,13 @@
 // were probed, because usually more than half of the upstreams are neither, and a probe takes 2 to 5 ms.
 func (r Requirements) Choose(ranked []Candidate, s Search) Choice {
 	c := r.choose(ranked, s)
-	c.Withheld = s.Withheld
+	c.Excluded = s.Excluded
 	return c
 }
 
 func (r Requirements) choose(ranked []Candidate, s Search) Choice {
-	if len(ranked) == 0 && s.Withheld.Upstreams > 0 {
-		return Choice{Decision: LimitReached}
-	}
 	if len(ranked) == 0 {
-		return Choice{Decision: NoUpstream}
+		return Choice{Decision: s.Excluded.decision()}
 	}
 	canProbe := s.CanProbe && len(s.Probed) < MaxProbed
 	searching := canProbe || s.Pending
@@ -111,6 +109,17 @@
 	return c
 }
 
+// decision returns what to do with a request if all upstreams are excluded.
+func (e *Excluded) decision() Decision {
+	switch {
+	case e.Count(RequestLimit) > 0:
+		return LimitReached
+	case e.Count(Paused) > 0:
+		return AllPaused
+	}
+	return NoUpstream
+}
+
 // firstAdmitted returns the first candidate that Admits permits. If canBeProbed is false, it must also be verified.
 func (r Requirements) firstAdmitted(ranked []Candidate, canBeProbed bool) (Candidate, bool) {
 	for _, c := range ranked {
--- a/balancing/request_limit.go
+++ b/balancing/request_limit.go
@@ -92,37 +92,18 @@
 	return time.Duration((1 - l.tokens) / rate * float64(time.Second))
 }
 
-// Withheld describes the upstreams that may not get a request now because their request limit is used up.
-type Withheld struct {
-	Upstreams int
-	// UntilNext is the time until this gateway may send to one of them, or math.MaxInt64 if it may not send to any.
-	UntilNext time.Duration
-}
-
-// withinLimit reports whether the request limit of an upstream allows a request now. If not, it counts the upstream as
-// withheld.
-func (s *Service) withinLimit(u *upstreamState, now time.Time) bool {
+// untilWithinLimit returns the time until the request limit of an upstream allows a request, or zero if it allows one now.
+func (s *Service) untilWithinLimit(u *upstreamState, now time.Time) time.Duration {
 	if u.limit == nil {
-		return true
+		return 0
 	}
 	if u.limit.expired(now) {
 		u.limit = nil
-		return true
-	}
-	wait := u.limit.untilToken(u, s.cfg.Gateways, now)
-	if wait == 0 {
-		return true
-	}
-	if s.withheld.Upstreams == 0 || wait < s.withheld.UntilNext {
-		s.withheld.UntilNext = wait
+		return 0
 	}
-	s.withheld.Upstreams++
-	return false
+	return u.limit.untilToken(u, s.cfg.Gateways, now)
 }
 
-// Withheld returns the upstreams that the last call of Rank left out because of their request limit.
-func (s *Service) Withheld() Withheld { return s.withheld }
-
 // LimitedUpstreams returns the number of upstreams that name a request limit.
 func (s *Service) LimitedUpstreams() int {
 	n := 0
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -39,7 +40,7 @@
 	meanSlowdown float64
 	// reportsSlowdown reports whether upstreams report their slowdown.
 	reportsSlowdown bool
-	withheld        Withheld
+	excluded        Excluded
 
 	// Buffers that Rank reuses: the unsorted candidates, the result, and the sort keys.
 	candidates, ranked []Candidate
@@ -97,26 +98,20 @@
 	return t
 }
 
-// Rank returns the upstreams that may get a request now, best first. Those whose request limit is used up are left out; see
-// Withheld. Suspect upstreams come last. Among the others,
+// Rank returns the upstreams that may get a request now, best first; see Excluded for the others. Suspect upstreams come last. Among the others,
 // good enough ones of the local zone come first. Within these groups, the estimate in steps decides, then the local
 // zone, then the affinity. The result is valid until the next call.
 func (s *Service) Rank(r Requirements, now time.Time) []Candidate {
 	mean := s.serviceTime(r).mean
 	step := max(mean/estimateSteps, time.Millisecond)
 	s.candidates, s.sortKeys = s.candidates[:0], s.sortKeys[:0]
-	s.withheld = Withheld{}
+	s.excluded = Excluded{UntilNext: math.MaxInt64}
 	for _, u := range s.upstreams {
-		if r.excludes(u.ID) || u.addressReassigned || now.Before(u.backoffUntil) {
+		if reason, wait := s.exclusion(u, r, now); reason != NotExcluded {
+			s.excluded.add(reason, wait)
 			continue
 		}
 		cold := u.cold(now)
-		if cold && s.cfg.ColdPerSecond > 0 && (!u.ownedWhileCold() || u.refillColdTokens(now, s.cfg.ColdPerSecond) < 1) {
-			continue
-		}
-		if !s.withinLimit(u, now) {
-			continue
-		}
 		c := Candidate{
 			ID: u.ID, Address: u.Address, Zone: u.Zone, Incarnation: u.Incarnation, Cold: cold, Estimate: s.estimate(u, mean, r, now),
 			Load: u.load, Age: s.loadAge(u, now), Suspect: u.suspect(now), HasFreeSlot: u.occupied(now) < u.slots(),
@@ -141,6 +136,9 @@
 	return s.ranked
 }
 
+// Excluded returns the upstreams that the last call of Rank left out.
+func (s *Service) Excluded() Excluded { return s.excluded }
+
 func (s *Service) loadAge(u *upstreamState, now time.Time) time.Duration {
 	if u.loadAt.IsZero() {
 		return time.Hour
--- a/balancing/upstream.go
+++ b/balancing/upstream.go
@@ -19,6 +19,9 @@
 	// IsSender reports whether this gateway is one of the given number of gateways that may send to the upstream while it
 	// names a request limit. It is called only for upstreams that do. Nil means that it is not.
 	IsSender func(senders int) bool
+	// Evacuated reports whether the availability zone of the upstream is evacuated. The upstream gets no requests, but its state is
+	// kept.
+	Evacuated bool
 	// Affinity orders upstreams that are otherwise equal, highest first. It should differ between gateways, to spread
 	// their requests over the upstreams, and stay the same over time, so that connections are reused.
 	Affinity uint64
--- a/balancing/upstream_state.go
+++ b/balancing/upstream_state.go
@@ -66,6 +66,8 @@
 	backoffUntil      time.Time // the upstream is not used before this time
 	backoff           time.Duration
 	addressReassigned bool // another upstream has the address
+	leaving           bool // see Service.RecordLeaving
+	pausedUntil       time.Time
 	coldTokens        float64
 	coldRefilledAt    time.Time
 	limit             *requestLimit // nil if the upstream names none
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -195,6 +195,18 @@
 	return err
 }
 
+// RecordLeaving records that one incarnation of an upstream said in a response that it leaves. This process knows it at once,
+// and the others once the call has returned nil. It does nothing if the upstream has announced it itself.
+func (c *Cluster) RecordLeaving(ctx context.Context, upstream string, incarnation int64) error {
+	e, ok := c.registry.Get(upstream)
+	if !ok || e.Incarnation != incarnation || e.State == registry.Gone {
+		return nil
+	}
+	e.State = registry.Draining
+	c.merge(e)
+	return c.Announce(ctx, e)
+}
+
 // completeDeregistration fills in the known entry for a deregistration, which contains only the upstream's id and possibly the
 // incarnation. A deregistration of another incarnation is returned unchanged.
 func (c *Cluster) completeDeregistration(e registry.Entry) registry.Entry {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -32,8 +32,8 @@
 	probed int
 	// bestRejected is the best candidate when no upstream was selected, for the log line of the refusal.
 	bestRejected balancing.Candidate
-	// withheld counts the upstreams that could not be selected because of their request limit.
-	withheld int
+	// excluded are the upstreams that could not be selected at the last attempt to find one.
+	excluded balancing.Excluded
 }
 
 func (c *call) repeatable() bool { return c.route.Kind.Repeatable() }
@@ -152,7 +152,7 @@
 		choice, probed := c.service.pick(ctx, r)
 		decision := choice.Decision
 		c.probed += probed
-		c.withheld = choice.Withheld.Upstreams
+		c.excluded = choice.Excluded
 		if decision == balancing.Send {
 			c.attempts++
 			c.tried = append(c.tried, choice.Best.ID)
@@ -162,7 +162,7 @@
 		}
 		c.bestRejected = choice.Best
 		now := time.Now()
-		if decision == balancing.LimitReached && choice.Withheld.UntilNext > until.Sub(now) {
+		if (decision == balancing.LimitReached || decision == balancing.AllPaused) && choice.Excluded.UntilNext > until.Sub(now) {
 			return nil, decision // waiting does not help
 		}
 		if decision == balancing.Unresponsive {
@@ -190,6 +190,10 @@
 		return &allOverloaded
 	case decision == balancing.LimitReached:
 		return &limitReached
+	case decision == balancing.AllPaused:
+		f := upstreamsPaused
+		f.retryAfter = c.excluded.UntilNext
+		return &f
 	}
 	return &noUpstream
 }
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -24,6 +24,12 @@
 	// ColdFactor and ColdSlack limit the requests to a cold upstream over all gateways. In any second there may be at
 	// most the service's warm-up rate times ColdFactor, plus ColdSlack.
 	ColdFactor, ColdSlack float64
+	// MaxPause limits the time for which an upstream can ask for a pause, so that one faulty response does not take an upstream out
+	// of use for hours.
+	MaxPause time.Duration
+	// OnLeaving is called when a response says that an upstream leaves, which was not known. It must not block. Nil means that
+	// nothing is called.
+	OnLeaving func(upstream string, incarnation int64)
 	// Dial opens connections to upstreams. Nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Metrics collects the gateway's metrics. If it is nil, New creates it.
--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/bramleypick/bramleypick/resultcode"
 )
@@ -18,6 +19,8 @@
 	retry bool
 	// elsewhere is set if another gateway may serve the request, so that the client may retry at once.
 	elsewhere bool
+	// retryAfter replaces the usual time after which the client may retry. Zero means the usual one.
+	retryAfter time.Duration
 	// status replaces the usual HTTP status of the code. Zero means the usual one.
 	status int
 }
@@ -25,6 +28,7 @@
 var (
 	noUpstream         = failure{code: resultcode.NoUpstream, message: "no upstream of the service can take work now", retry: true}
 	allOverloaded      = failure{code: resultcode.QueueFull, message: "no upstream of the service would answer in time", retry: true}
+	upstreamsPaused    = failure{code: resultcode.UpstreamsPaused, message: "the upstreams of the service have asked for a pause", retry: true}
 	limitReached       = failure{code: resultcode.RequestLimitReached, message: "the upstreams of the service have reached the request limits that they named", retry: true}
 	upstreamRefused    = failure{code: resultcode.UpstreamRefused, message: "the upstream did not start the request", retry: true}
 	noConfiguration    = failure{code: resultcode.ControlUnavailable, message: "no configuration is known yet", retry: true}
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -88,13 +88,16 @@
 		g.limitSenders.Update(state.Senders)
 	}
 	for _, e := range state.Upstreams {
-		if e.State != registry.Ready || state.View.Evacuated[e.Zone] {
+		if e.State != registry.Ready {
 			continue
 		}
-		incarnations[e.ID] = e.Incarnation
+		evacuated := state.View.Evacuated[e.Zone]
+		if !evacuated {
+			incarnations[e.ID] = e.Incarnation
+		}
 		byService[e.Service] = append(byService[e.Service], balancing.Upstream{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Slots: e.Slots,
-			Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft),
+			Evacuated: evacuated, Affinity: placement.Score(e.ID, state.Self), ColdUntil: now.Add(e.WarmupLeft),
 			ColdOwner: func() bool {
 				return state.Connected && g.coldOwners.Owner(placement.Key{Name: e.ID, Zone: e.Zone}) == state.Self
 			},
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/balancing"
 	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/hopheader"
 )
@@ -190,7 +192,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if f.retry {
-		pause := retryAfter
+		pause := cmp.Or(f.retryAfter, retryAfter)
 		if f.elsewhere {
 			pause = 0
 		}
@@ -240,8 +242,13 @@
 		fields = append(fields, zap.Float64("stops_in_ms", float64(time.Until(plan.FinishBy).Microseconds())/1000),
 			zap.Float64("deadline_in_ms", float64(c.timeLeft().Microseconds())/1000))
 	}
-	if c.withheld > 0 {
-		fields = append(fields, zap.Int("withheld", c.withheld))
+	if n := c.excluded.Count(balancing.RequestLimit); n > 0 {
+		fields = append(fields, zap.Int("withheld", n))
+	}
+	if f != nil {
+		if reasons := c.excluded.String(); reasons != "" {
+			fields = append(fields, zap.String("excluded", reasons))
+		}
 	}
 	c.g.cfg.Log.Info(outcome, fields...)
 }
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -33,6 +33,8 @@
 	testWarmup   = "Test-Warmup"
 	testLoad     = "Test-Load"
 	testLimit    = "Test-Limit"
+	testLeaving  = "Test-Leaving"
+	testPause    = "Test-Pause" // a duration as in Go
 )
 
 func testProtocol() Protocol {
@@ -51,6 +53,11 @@
 			}
 			return time.Duration(ms) * time.Millisecond
 		},
+		Leaving: func(h http.Header) bool { return h.Get(testLeaving) != "" },
+		Pause: func(_ int, h http.Header) (time.Duration, bool) {
+			pause, err := time.ParseDuration(h.Get(testPause))
+			return pause, err == nil
+		},
 		RequestLimit: func(h http.Header) (float64, bool) {
 			if h.Get(testLimit) == "" {
 				return balancing.NoLimit, true
@@ -69,6 +76,9 @@
 	omitLoad bool // does not report its load
 	respond  http.HandlerFunc
 	running  atomic.Int64 // reported as the number of running requests
+	// healthHeader is added to health responses.
+	healthHeader   http.Header
+	healthRequests atomic.Int32
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -88,7 +98,11 @@
 		w.Header().Set(testLoad, strconv.FormatInt(u.running.Load(), 10))
 	}
 	if r.URL.Path == "/health" {
+		u.healthRequests.Add(1)
 		w.Header().Set(testUpstream, u.id)
+		for name, values := range u.healthHeader {
+			w.Header()[name] = values
+		}
 		if u.warmup > 0 {
 			w.Header().Set(testWarmup, strconv.Itoa(u.warmup))
 		}
@@ -200,7 +214,7 @@
 func testConfig(linkBitsPerSecond float64, log *zap.Logger) Config {
 	return Config{
 		Zone: "z", Protocol: testProtocol(), RetryRatio: 0.2, RetrySlack: 20, RetryWindow: 10 * time.Second,
-		ColdFactor: 1.5, ColdSlack: 5, LinkBitsPerSecond: linkBitsPerSecond, Log: log,
+		ColdFactor: 1.5, ColdSlack: 5, MaxPause: time.Minute, LinkBitsPerSecond: linkBitsPerSecond, Log: log,
 	}
 }
 
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -41,6 +41,10 @@
 			}
 		}, rejected},
 		{resultcode.RequestLimitReached, "/once/1", succeed, nil, nil, common + " withheld"},
+		{resultcode.UpstreamsPaused, "/once/1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testPause, "10s")
+			shed(w, r)
+		}, nil, nil, common + " excluded"},
 		{resultcode.DeadlineBeforeStart, "/once/1", succeed, func(r *http.Request) { r.Header.Set(testDeadline, "0") }, nil, common},
 		{resultcode.ShuttingDown, "/once/1", succeed, nil, nil, common + " stops_in_ms deadline_in_ms"},
 		{resultcode.OutcomeUnknown, "/idempotent/1", hang, nil, nil, sent + " stops_in_ms deadline_in_ms"},
@@ -65,6 +69,9 @@
 			if test.code == resultcode.RequestLimitReached {
 				g.RecordReportedLimits(map[string]float64{"a": 1}, time.Now())
 			}
+			if test.code == resultcode.UpstreamsPaused {
+				send(t, g, test.path, func(r *http.Request) { r.Header.Set(testID, "id0") })
+			}
 			if test.code == resultcode.ShuttingDown || test.code == resultcode.OutcomeUnknown {
 				g.Stop(NewStopPlan(time.Now(), time.Second, time.Second)) // ends before the requests' deadlines
 			}
--- a/internal/edge/pick.go
+++ b/internal/edge/pick.go
@@ -77,7 +77,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	ranked := s.balancer.Rank(r, now)
-	search.Withheld = s.balancer.Withheld()
+	search.Excluded = s.balancer.Excluded()
 	choice := r.Choose(ranked, search)
 	if choice.Decision == balancing.Send {
 		s.balancer.Begin(choice.Best.ID, now)
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -37,10 +37,13 @@
 
 // probe requests the health and load of an upstream and records them.
 func (s *service) probe(ctx context.Context, c balancing.Candidate) {
+	if !s.mayProbe(c.ID) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutOn(s.cfg.LinkBitsPerSecond))
 	defer cancel()
 	started := time.Now()
-	header, status, err := s.requestHealth(ctx, c)
+	resp, err := s.requestHealth(ctx, c)
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -54,14 +57,18 @@
 		}
 		return
 	}
-	p := &s.cfg.Protocol
-	if id := header.Get(p.UpstreamHeader); id != "" && id != c.ID {
+	p, header := &s.cfg.Protocol, resp.Header
+	id := header.Get(p.UpstreamHeader)
+	if id != "" && id != c.ID {
 		s.balancer.End(c.ID, balancing.AddressReassigned, now)
 		return
 	}
+	if id != "" { // otherwise another upstream may have responded
+		s.recordWishes(c, resp, now)
+	}
 	s.failures.record(c.ID, false, now)
 	s.meanProbeTime += time.Duration(probeGain * float64(now.Sub(started)-s.meanProbeTime))
-	s.balancer.RecordProbe(c.ID, status == http.StatusOK, p.WarmupLeft(header), now.Sub(started), now)
+	s.balancer.RecordProbe(c.ID, resp.StatusCode == http.StatusOK, p.WarmupLeft(header), now.Sub(started), now)
 	s.recordLimit(c.ID, header, true, now)
 	load, ok := p.Load(header)
 	if ok {
@@ -75,27 +82,28 @@
 
 // requestHealth sends a health request on an idle connection. If the upstream had closed that connection, it sends the
 // request again on a new one.
-func (s *service) requestHealth(ctx context.Context, c balancing.Candidate) (http.Header, int, error) {
+func (s *service) requestHealth(ctx context.Context, c balancing.Candidate) (*http.Response, error) {
 	pool := s.pool(c.Address)
-	header, status, reused, err := s.requestHealthOn(ctx, pool, c, false)
+	resp, reused, err := s.requestHealthOn(ctx, pool, c, false)
 	if reused && errors.Is(err, upstreamconn.ErrConnLost) {
-		header, status, _, err = s.requestHealthOn(ctx, pool, c, true)
+		resp, _, err = s.requestHealthOn(ctx, pool, c, true)
 	}
-	return header, status, err
+	return resp, err
 }
 
-func (s *service) requestHealthOn(ctx context.Context, pool *upstreamconn.Pool, c balancing.Candidate, forceNew bool) (header http.Header, status int, reused bool, err error) {
+// requestHealthOn returns the response after reading its body.
+func (s *service) requestHealthOn(ctx context.Context, pool *upstreamconn.Pool, c balancing.Candidate, forceNew bool) (resp *http.Response, reused bool, err error) {
 	conn, err := pool.Connect(ctx, forceNew)
 	if err != nil {
-		return nil, 0, false, err
+		return nil, false, err
 	}
 	r := &http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: c.Address, Path: s.healthPath}, Host: c.Address,
 		Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
 	}
-	resp, _, err := conn.Exchange(ctx, r)
+	resp, _, err = conn.Exchange(ctx, r)
 	if err != nil {
-		return nil, 0, conn.Reused(), err
+		return nil, conn.Reused(), err
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody+1))
 	if n > maxHealthBody {
@@ -104,5 +112,11 @@
 	if closeErr := resp.Body.Close(); err == nil {
 		err = closeErr
 	}
-	return resp.Header, resp.StatusCode, conn.Reused(), err
+	return resp, conn.Reused(), err
+}
+
+func (s *service) mayProbe(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.MayProbe(upstream, time.Now())
 }
--- a/internal/edge/protocol.go
+++ b/internal/edge/protocol.go
@@ -24,6 +24,11 @@
 	Load func(http.Header) (balancing.Load, bool)
 	// WarmupLeft decodes the remaining warm-up time from a health response.
 	WarmupLeft func(http.Header) time.Duration
+	// Leaving reports whether a response says that the upstream leaves and wants no more requests.
+	Leaving func(http.Header) bool
+	// Pause decodes the time for which the upstream wants no more requests from this gateway. It returns false if the response
+	// names none, or if the value is malformed.
+	Pause func(status int, header http.Header) (time.Duration, bool)
 	// RequestLimit decodes the number of requests per second that an upstream accepts from all gateways together, or
 	// balancing.NoLimit if the response names none. It returns false if the value is malformed.
 	RequestLimit func(http.Header) (float64, bool)
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -61,7 +61,9 @@
 	s.balancer.SetUpstreams(upstreams, now)
 	current := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
-		current[u.Address] = true
+		if !u.Evacuated {
+			current[u.Address] = true
+		}
 	}
 	for address, pool := range s.pools {
 		if !current[address] {
--- a/internal/entrynode/harness_test.go
+++ b/internal/entrynode/harness_test.go
@@ -39,6 +39,8 @@
 		RequestIDHeader: testID, DeadlineHeader: testDeadline, TargetHeader: testTarget, NotRunHeader: testNotRun, UpstreamHeader: "Test-Upstream",
 		Load:         func(http.Header) (balancing.Load, bool) { return balancing.Load{}, false },
 		WarmupLeft:   func(http.Header) time.Duration { return 0 },
+		Leaving:      func(http.Header) bool { return false },
+		Pause:        func(int, http.Header) (time.Duration, bool) { return 0, false },
 		RequestLimit: func(http.Header) (float64, bool) { return balancing.NoLimit, true },
 	}
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -32,6 +32,9 @@
 	// minSenders is the number of gateways without a replica from which on request limits are not divided among the others,
 	// to which clients are not directed then.
 	minSenders = 2
+	// maxUpstreamPause limits the time for which an upstream can ask for a pause. It is longer than the recovery of any upstream
+	// should take; one that starts anew is used at once.
+	maxUpstreamPause = 10 * time.Minute
 	// readTimeout bounds the time for reading a request including its body on the entry address, and a request header
 	// on the other addresses. It is longer than the usual routing.Limits.HeaderTimeoutMillis, which is 3 s and is not
 	// applied.
@@ -70,13 +73,15 @@
 	gateway  *edge.Gateway
 	metrics  *edge.Metrics
 	leaving  atomic.Bool
+	// departures are those that are not yet shared.
+	departures chan departure
 	// appliedRevision is the revision last passed to the gateway. Only refresh uses it.
 	appliedRevision cluster.Revision
 }
 
 // New returns a Node; Run starts it.
 func New(s Settings, a Adapter, log *zap.Logger) *Node {
-	n := &Node{adapter: a, log: log, metrics: edge.NewMetrics()}
+	n := &Node{adapter: a, log: log, metrics: edge.NewMetrics(), departures: make(chan departure, maxDepartures)}
 	n.settings.Store(&s)
 	n.cluster = cluster.New(cluster.Config{
 		Self: roster.Node{
@@ -90,7 +95,8 @@
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, LinkBitsPerSecond: s.LinkBitsPerSecond, Metrics: n.metrics, Log: log.Named("edge"),
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxPause: maxUpstreamPause, OnLeaving: n.queueDeparture,
+		LinkBitsPerSecond: s.LinkBitsPerSecond, Metrics: n.metrics, Log: log.Named("edge"),
 	})
 	return n
 }
@@ -111,6 +117,7 @@
 	tasks.Go(func() { n.refresh(running) })
 	tasks.Go(func() { n.reload(running) })
 	tasks.Go(func() { n.shareReports(running) })
+	tasks.Go(func() { n.shareDepartures(running) })
 	control, directory, ready := n.adapter.Handlers(n)
 	entry := n.entryServer()
 	servers := []server{entry, n.server(control), n.server(directory), n.server(ready), n.server(n.metricsHandler())}
--- a/resultcode/info.go
+++ b/resultcode/info.go
@@ -34,6 +34,7 @@
 	ClientAccountLimit:     {"tenant_limit", true, http.StatusTooManyRequests, "The tenant has as many requests waiting as it may have."},
 	UnknownRoute:           {"unknown_route", true, http.StatusNotFound, "No route matches the host and path."},
 	RequestLimitReached:    {"request_limit_reached", true, http.StatusServiceUnavailable, "The upstreams of the service have reached the request limits that they named."},
+	UpstreamsPaused:        {"upstreams_paused", true, http.StatusServiceUnavailable, "The upstreams of the service have asked this gateway for a pause."},
 
 	OutcomeUnknown:        {"outcome_unknown", false, http.StatusBadGateway, "The upstream failed after it may have started the request."},
 	ClaimRunning:          {"claim_running", false, http.StatusConflict, "A request with this idempotency key is running."},
--- a/resultcode/resultcode.go
+++ b/resultcode/resultcode.go
@@ -28,6 +28,7 @@
 	ClientAccountLimit     Code = 1016
 	UnknownRoute           Code = 1017
 	RequestLimitReached    Code = 1018
+	UpstreamsPaused        Code = 1019
 )
 
 // Codes of requests that may have run at an upstream (2xxx).
