cluster, edge: a process that starts gets the crash records of the others

Cause: losses are shared as increments when they happen, and the full update that a starting process gets did not have them.

Change: the full update has the crash records of the replica, and the larger number is kept where several replicas report the same losses.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/replog"
@@ -62,6 +63,12 @@
 	if cfg.OnLimits == nil {
 		cfg.OnLimits = func(map[string]float64) {}
 	}
+	if cfg.CrashRecords == nil {
+		cfg.CrashRecords = func() map[string]crashguard.Record { return nil }
+	}
+	if cfg.OnCrashRecords == nil {
+		cfg.OnCrashRecords = func(map[string]crashguard.Record) {}
+	}
 	c := &Cluster{
 		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
 		changed: make(chan struct{}, 1), publishSignal: make(chan struct{}, 1), viewFetches: make(chan *nodelink.Link, 16),
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/roster"
 )
 
@@ -26,5 +27,11 @@
 	// OnLimits is called with the request limits of upstreams that other processes reported; a negative limit has ended.
 	// It must not block.
 	OnLimits func(map[string]float64)
-	Log      *zap.Logger
+	// CrashRecords returns the crash records of this process, by fingerprint. They are sent to each process that connects, since
+	// losses are otherwise shared only once, when they happen. Nil means that there are none.
+	CrashRecords func() map[string]crashguard.Record
+	// OnCrashRecords is called with the crash records of a replica after a link to it has opened. Several replicas may report the
+	// same losses. Nil means that nothing is called.
+	OnCrashRecords func(map[string]crashguard.Record)
+	Log            *zap.Logger
 }
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -116,6 +116,9 @@
 	if len(u.Limits) > 0 {
 		c.cfg.OnLimits(u.Limits)
 	}
+	if len(u.CrashRecords) > 0 {
+		c.cfg.OnCrashRecords(u.CrashRecords)
+	}
 	for _, n := range u.Replicas {
 		// Sent by a process without a replica. The nodes are recorded as alive so that dialReplicas dials them.
 		c.nodes.Report(l.Remote, roster.Report{Node: n, Alive: true}, now)
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/nodelink"
 	"github.com/bramleypick/bramleypick/registry"
 	"github.com/bramleypick/bramleypick/roster"
@@ -38,6 +39,8 @@
 	Failures failures `cbor:"5,keyasint,omitempty"`
 	// Limits are the request limits of upstreams that processes reported.
 	Limits limits `cbor:"6,keyasint,omitempty"`
+	// CrashRecords are all that the replica has, by fingerprint. Only full updates have them; later losses are in Failures.
+	CrashRecords map[string]crashguard.Record `cbor:"7,keyasint,omitempty"`
 }
 
 // failures counts the requests that failed at upstreams, by the upstream's id.
--- a/internal/cluster/subscriber.go
+++ b/internal/cluster/subscriber.go
@@ -68,9 +68,9 @@
 	signal(c.publishSignal)
 }
 
-// fullUpdate returns an update with all known processes and upstreams. The caller holds mu.
+// fullUpdate returns an update with all known processes, upstreams and crash records. The caller holds mu.
 func (c *Cluster) fullUpdate(viewIndex uint64) update {
-	u := update{Entries: c.registry.All(time.Now()), ViewIndex: viewIndex}
+	u := update{Entries: c.registry.All(time.Now()), ViewIndex: viewIndex, CrashRecords: c.cfg.CrashRecords()}
 	for _, n := range c.nodes.All() {
 		u.Reports = append(u.Reports, roster.Report{Node: n, Alive: c.isConnected(n)})
 	}
--- a/internal/edge/crash_records.go
+++ b/internal/edge/crash_records.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bramleypick/bramleypick/crashguard"
 )
 
 const (
@@ -82,6 +84,41 @@
 	return r != nil && r.losses >= lossesToBlock && now.Sub(r.lastLoss) < crashMemory
 }
 
+// all returns the records that have not expired, by fingerprint.
+func (c *crashRecords) all(now time.Time) map[string]crashguard.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	records := make(map[string]crashguard.Record, len(c.byFingerprint))
+	for fingerprint, r := range c.byFingerprint {
+		if age := now.Sub(r.lastLoss); age < crashMemory {
+			records[fingerprint] = crashguard.Record{Losses: r.losses, Age: max(0, age)}
+		}
+	}
+	return records
+}
+
+// merge merges the records of another gateway. Both may have counted the same losses, so the larger number is kept.
+func (c *crashRecords) merge(records map[string]crashguard.Record, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startGeneration(now)
+	for fingerprint, record := range records {
+		if c.succeeded[fingerprint] || c.past[fingerprint] || record.Losses <= 0 || record.Age < 0 || record.Age >= crashMemory {
+			continue
+		}
+		r := c.byFingerprint[fingerprint]
+		if r == nil {
+			c.evict(now)
+			r = &crashRecord{}
+			c.byFingerprint[fingerprint] = r
+		}
+		r.losses = max(r.losses, record.Losses)
+		if lastLoss := now.Add(-record.Age); lastLoss.After(r.lastLoss) {
+			r.lastLoss = lastLoss
+		}
+	}
+}
+
 // evict makes room for a record. It drops expired ones, or else the one whose last loss is the oldest.
 func (c *crashRecords) evict(now time.Time) {
 	if len(c.byFingerprint) < maxCrashRecords {
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -119,3 +119,46 @@
 	is.True(!c.recordLosses("ok1", 1, now.Add(successMemory)))
 	is.True(c.recordLosses("ok1", 1, now.Add(3*successMemory)))
 }
+
+// Guards against a request that crashes upstreams again after a rolling restart: a gateway that starts must know what the others
+// know, and must not count losses twice that several of them report.
+func TestLateGatewayKnowsCrashes(t *testing.T) {
+	is := is.New(t)
+	gateways, upstreams, share := crashingDeployment(t, 12)
+	for i := range 4 {
+		send(t, gateways[i%2], "/idempotent/crash", nil)
+		time.Sleep(3 * confirmDelay) // the probe confirms the loss
+		share()
+	}
+	before := 0
+	for _, u := range upstreams {
+		before += u.requestCount()
+	}
+	is.True(before >= lossesToBlock)
+	now := time.Now()
+	for _, losses := range []int{lossesToBlock - 1, lossesToBlock} {
+		late := newGateway(t, clusterState(upstreams[0].entry(), upstreams[1].entry(), upstreams[2].entry()))
+		for _, g := range gateways { // each replica sends its records
+			records := g.CrashRecords()
+			is.Equal(len(records), 1)
+			for fingerprint, r := range records {
+				is.True(r.Losses >= lossesToBlock)
+				r.Losses = losses
+				records[fingerprint] = r
+			}
+			late.MergeCrashRecords(records)
+		}
+		for fingerprint := range late.CrashRecords() {
+			is.Equal(late.crashes.records.blocked(fingerprint, now), losses >= lossesToBlock)
+			is.True(!late.crashes.records.blocked(fingerprint, now.Add(crashMemory)))
+		}
+		if losses >= lossesToBlock {
+			is.Equal(send(t, late, "/idempotent/crash", nil).Code, http.StatusServiceUnavailable)
+		}
+	}
+	after := 0
+	for _, u := range upstreams {
+		after += u.requestCount()
+	}
+	is.Equal(after, before)
+}
--- a/internal/edge/failure_reports.go
+++ b/internal/edge/failure_reports.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/crashguard"
 )
 
 const (
@@ -78,6 +80,16 @@
 // probes fail, because the cause is then likely to be local.
 func (g *Gateway) TakeFailures() map[string]int { return g.failures.take() }
 
+// CrashRecords returns what this gateway knows of requests that crash upstreams, by fingerprint, for gateways that start later.
+func (g *Gateway) CrashRecords() map[string]crashguard.Record {
+	return g.crashes.records.all(time.Now())
+}
+
+// MergeCrashRecords merges the result of CrashRecords of another gateway.
+func (g *Gateway) MergeCrashRecords(records map[string]crashguard.Record) {
+	g.crashes.records.merge(records, time.Now())
+}
+
 // RecordReportedFailures records what other gateways reported with TakeFailures.
 func (g *Gateway) RecordReportedFailures(reported map[string]int, now time.Time) {
 	g.mu.Lock()
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/cluster"
 	"github.com/bramleypick/bramleypick/internal/edge"
 	"github.com/bramleypick/bramleypick/internal/pipeline"
@@ -90,8 +91,10 @@
 		},
 		Seeds:   func() []string { return append([]string(nil), n.settings.Load().SeedPeers...) },
 		DataDir: s.DataDir, AllowBootstrap: s.FirstStart, Log: log.Named("cluster"),
-		OnFailures: func(counts map[string]int) { n.gateway.RecordReportedFailures(counts, time.Now()) },
-		OnLimits:   func(limits map[string]float64) { n.gateway.RecordReportedLimits(limits, time.Now()) },
+		OnFailures:     func(counts map[string]int) { n.gateway.RecordReportedFailures(counts, time.Now()) },
+		OnLimits:       func(limits map[string]float64) { n.gateway.RecordReportedLimits(limits, time.Now()) },
+		CrashRecords:   func() map[string]crashguard.Record { return n.gateway.CrashRecords() },
+		OnCrashRecords: func(records map[string]crashguard.Record) { n.gateway.MergeCrashRecords(records) },
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
