edge, registry, cluster: upstreams that report no load are watched for turning cold

Cause: health requests of a service ended once a response showed no load, and a warm-up that begins at a known upstream was not propagated.

A warm-up that begins is propagated; one found in a response applies whatever the sequence number is.

--- a/balancing/exclusion.go
+++ b/balancing/exclusion.go
@@ -123,3 +123,32 @@
 	}
 	return begins
 }
+
+// OwnedWhileCold returns the upstreams to which this gateway may send while they are cold, and to which health requests may be
+// sent.
+func (s *Service) OwnedWhileCold(now time.Time) []Candidate {
+	var owned []Candidate
+	for id, u := range s.upstreams {
+		if s.MayProbe(id, now) && !now.Before(u.backoffUntil) && u.ownedWhileCold() {
+			owned = append(owned, Candidate{ID: id, Address: u.Address, Zone: u.Zone, Incarnation: u.Incarnation})
+		}
+	}
+	return owned
+}
+
+// RecordHealth records a health response that was not requested for a request. Its delay says nothing, as it may have waited for a
+// slot. RecordHealth reports whether the upstream has turned cold.
+func (s *Service) RecordHealth(id string, incarnation int64, healthy bool, warmupLeft time.Duration, now time.Time) bool {
+	u := s.upstreams[id]
+	if u == nil || u.Incarnation != incarnation {
+		return false
+	}
+	if !healthy {
+		u.backoffUntil = now.Add(minBackoff)
+	}
+	if u.cold(now) || warmupLeft <= 0 {
+		return false
+	}
+	u.ColdUntil, u.coldRefilledAt, u.coldTokens = now.Add(warmupLeft), now, 0
+	return true
+}
--- a/internal/cluster/late_start_test.go
+++ b/internal/cluster/late_start_test.go
@@ -56,3 +56,20 @@
 		return known.State == registry.Draining && received["f"] == 3 && limited["v"] == 2
 	})
 }
+
+// Guards against an upstream that turns cold again while only the process that noticed knows it.
+func TestWarmupReachesTheOthers(t *testing.T) {
+	all := startDeployment(t, 3, 2)
+	eventually(t, "every replica votes", func() bool { return voterCount(all[0]) == 3 })
+	e := registry.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Zone: "z1", State: registry.Ready, Incarnation: 1, Seq: 1}
+	eventually(t, "the upstream is announced", func() bool { return all[3].Announce(t.Context(), e) == nil })
+	for _, p := range all {
+		eventually(t, "every process knows the upstream", func() bool { return len(p.Upstreams()) == 1 })
+	}
+	e.Seq = 2 // changes nothing, so that only the replica knows it
+	is.New(t).NoErr(all[0].Announce(t.Context(), e))
+	is.New(t).NoErr(all[4].RecordWarmup(t.Context(), "u", 1, time.Minute))
+	for _, p := range all {
+		eventually(t, "every process knows that it is cold", func() bool { return p.Upstreams()[0].WarmupLeft > 0 })
+	}
+}
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -207,6 +207,18 @@
 	return c.Announce(ctx, e)
 }
 
+// RecordWarmup records that one incarnation of an upstream has turned cold again. This process knows it at once, and the others
+// once the call has returned nil.
+func (c *Cluster) RecordWarmup(ctx context.Context, upstream string, incarnation int64, left time.Duration) error {
+	e, ok := c.registry.Get(upstream)
+	if !ok || e.Incarnation != incarnation || e.State != registry.Ready {
+		return nil
+	}
+	e.WarmupLeft, e.Observed = left, true
+	c.merge(e)
+	return c.Announce(ctx, e)
+}
+
 // completeDeregistration fills in the known entry for a deregistration, which contains only the upstream's id and possibly the
 // incarnation. A deregistration of another incarnation is returned unchanged.
 func (c *Cluster) completeDeregistration(e registry.Entry) registry.Entry {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -60,6 +60,7 @@
 	}
 	if a.resp != nil {
 		if load, ok := a.call.g.cfg.Protocol.Load(a.resp.Header); ok {
+			a.call.service.reportsLoad = true
 			a.call.service.balancer.RecordLoad(a.candidate.ID, load, now)
 		}
 		if outcome != balancing.AddressReassigned {
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -30,6 +30,9 @@
 	// OnLeaving is called when a response says that an upstream leaves, which was not known. It must not block. Nil means that
 	// nothing is called.
 	OnLeaving func(upstream string, incarnation int64)
+	// OnCold is called when an upstream that reports no load has turned cold, with its remaining warm-up time. It must not block.
+	// Nil means that nothing is called.
+	OnCold func(upstream string, incarnation int64, warmupLeft time.Duration)
 	// Dial opens connections to upstreams. Nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Metrics collects the gateway's metrics. If it is nil, New creates it.
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -100,9 +100,11 @@
 	if r.URL.Path == "/health" {
 		u.healthRequests.Add(1)
 		w.Header().Set(testUpstream, u.id)
+		u.mu.Lock()
 		for name, values := range u.healthHeader {
 			w.Header()[name] = values
 		}
+		u.mu.Unlock()
 		if u.warmup > 0 {
 			w.Header().Set(testWarmup, strconv.Itoa(u.warmup))
 		}
@@ -120,6 +122,12 @@
 	u.respond(w, r)
 }
 
+func (u *fakeUpstream) setHealthHeader(h http.Header) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.healthHeader = h
+}
+
 func (u *fakeUpstream) requestCount() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -72,6 +72,7 @@
 	s.recordLimit(c.ID, header, true, now)
 	load, ok := p.Load(header)
 	if ok {
+		s.reportsLoad = true
 		s.balancer.RecordLoad(c.ID, load, now)
 	}
 	if s.noLoadReports == ok {
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -33,13 +33,15 @@
 	pools         map[string]*upstreamconn.Pool // by address
 	meanProbeTime time.Duration                 // moving average of the duration of successful probes
 	noLoadReports bool                          // the upstreams report no load, so that probes yield no information
+	reportsLoad   bool                          // an upstream has reported its load
+	watched       map[string]bool               // upstreams with a health request in flight; see Gateway.WatchCold
 }
 
 func newService(g *Gateway, name string) *service {
 	cfg := g.cfg
 	return &service{
 		cfg: cfg, name: name, pacer: g.pacer, failures: g.failures, crashes: g.crashes, limits: g.limits,
-		metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool),
+		metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool), watched: make(map[string]bool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
 }
--- a/internal/edge/wishes_test.go
+++ b/internal/edge/wishes_test.go
@@ -81,7 +81,7 @@
 func TestLastUpstreamLeaves(t *testing.T) {
 	is := is.New(t)
 	u := newUpstream(t, "a", succeed)
-	u.healthHeader = http.Header{testLeaving: {"1"}}
+	u.setHealthHeader(http.Header{testLeaving: {"1"}})
 	g := newGateway(t, clusterState(u.entry()))
 	started := time.Now()
 	w := send(t, g, "/once/1", nil)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -74,15 +74,15 @@
 	gateway  *edge.Gateway
 	metrics  *edge.Metrics
 	leaving  atomic.Bool
-	// departures are those that are not yet shared.
-	departures chan departure
+	// observations are those that are not yet shared.
+	observations chan observation
 	// appliedRevision is the revision last passed to the gateway. Only refresh uses it.
 	appliedRevision cluster.Revision
 }
 
 // New returns a Node; Run starts it.
 func New(s Settings, a Adapter, log *zap.Logger) *Node {
-	n := &Node{adapter: a, log: log, metrics: edge.NewMetrics(), departures: make(chan departure, maxDepartures)}
+	n := &Node{adapter: a, log: log, metrics: edge.NewMetrics(), observations: make(chan observation, maxObservations)}
 	n.settings.Store(&s)
 	n.cluster = cluster.New(cluster.Config{
 		Self: roster.Node{
@@ -98,7 +98,13 @@
 	})
 	n.gateway = edge.New(edge.Config{
 		Zone: s.Zone, Protocol: a.Protocol(), RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxPause: maxUpstreamPause, OnLeaving: n.queueDeparture,
+		ColdFactor: s.ColdFactor, ColdSlack: s.ColdSlack, MaxPause: maxUpstreamPause,
+		OnLeaving: func(upstream string, incarnation int64) {
+			n.queueObservation(observation{upstream, incarnation, time.Time{}})
+		},
+		OnCold: func(upstream string, incarnation int64, left time.Duration) {
+			n.queueObservation(observation{upstream, incarnation, time.Now().Add(left)})
+		},
 		LinkBitsPerSecond: s.LinkBitsPerSecond, Metrics: n.metrics, Log: log.Named("edge"),
 	})
 	return n
@@ -120,7 +126,8 @@
 	tasks.Go(func() { n.refresh(running) })
 	tasks.Go(func() { n.reload(running) })
 	tasks.Go(func() { n.shareReports(running) })
-	tasks.Go(func() { n.shareDepartures(running) })
+	tasks.Go(func() { n.shareObservations(running) })
+	tasks.Go(func() { n.gateway.WatchCold(running) })
 	control, directory, ready := n.adapter.Handlers(n)
 	entry := n.entryServer()
 	servers := []server{entry, n.server(control), n.server(directory), n.server(ready), n.server(n.metricsHandler())}
--- a/registry/entry.go
+++ b/registry/entry.go
@@ -20,6 +20,9 @@
 	Seq uint64 `cbor:"9,keyasint,omitempty"`
 	// WarmupLeft is the remaining warm-up time of the upstream when the entry was received.
 	WarmupLeft time.Duration `cbor:"10,keyasint,omitempty"`
+	// Observed is set if a process found WarmupLeft in a response. It then applies whatever Seq is, because the sequence numbers of
+	// announcements that change nothing are not propagated.
+	Observed bool `cbor:"11,keyasint,omitempty"`
 }
 
 // supersedes reports whether e is newer than old, an entry with the same id. The state never moves backwards within one
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,13 +24,23 @@
 	changedAt  time.Time // time of the last material change
 }
 
+// warmupLeft returns the remaining warm-up time.
+func (r *record) warmupLeft(now time.Time) time.Duration {
+	return max(0, r.WarmupLeft-now.Sub(r.receivedAt))
+}
+
+// turnsCold reports whether e is the observation that the upstream is cold again.
+func (r *record) turnsCold(e *Entry, now time.Time) bool {
+	return e.Observed && e.WarmupLeft > 0 && e.Incarnation == r.Incarnation && e.State == r.State && r.warmupLeft(now) == 0
+}
+
 // New returns an empty registry.
 func New() *Registry {
 	return &Registry{entries: make(map[string]*record), idByAddress: make(map[string]string)}
 }
 
-// Merge adds or replaces an entry if e is newer than the current one, and returns the entries that changed materially: the
-// entry itself, and the upstream whose address it took over.
+// Merge adds or replaces an entry if e is newer than the current one, and returns the entries that must be propagated: the entry
+// itself, if it changed materially or its warm-up begins, and the upstream whose address it took over.
 func (r *Registry) Merge(e Entry, now time.Time) (changed []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,8 +50,16 @@
 		e.State = Gone
 	}
 	if old != nil && !e.supersedes(&old.Entry) {
-		return nil
+		if !old.turnsCold(&e, now) {
+			return nil
+		}
+		old.WarmupLeft, old.receivedAt = e.WarmupLeft, now
+		r.revision++
+		observed := old.Entry
+		observed.Observed = true
+		return []Entry{observed}
 	}
+	e.Observed = false // it concerns this merge only
 	if other := r.currentHolder(e.Address, e.ID); other != nil && e.State != Gone {
 		if other.Incarnation > e.Incarnation {
 			e.State = Gone // a process that started later uses the address
@@ -53,7 +71,9 @@
 	rec := &record{Entry: e, receivedAt: now, changedAt: now}
 	if old != nil && !e.differsMaterially(&old.Entry) {
 		rec.changedAt = old.changedAt
-		if e.WarmupLeft > old.WarmupLeft-now.Sub(old.receivedAt) && e.WarmupLeft > 0 {
+		if e.WarmupLeft > 0 && old.warmupLeft(now) == 0 {
+			changed = append(changed, e)
+		} else if e.WarmupLeft > old.WarmupLeft-now.Sub(old.receivedAt) && e.WarmupLeft > 0 {
 			// The warm-up ends later. That is not a material change, but processes that send requests to the upstream use it.
 			r.revision++
 		}
@@ -106,7 +126,7 @@
 	all := make([]Entry, 0, len(r.entries))
 	for _, rec := range r.entries {
 		e := rec.Entry
-		e.WarmupLeft = max(0, e.WarmupLeft-now.Sub(rec.receivedAt))
+		e.WarmupLeft = rec.warmupLeft(now)
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Entry) int {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -107,6 +107,32 @@
 	is.Equal(len(r.Merge(registry.Entry{ID: "b", Service: "s", Address: "10.0.0.1:80", State: registry.Ready, Incarnation: 200}, start)), 2)
 }
 
+// Guards against an upstream that turns cold again while only the process that noticed knows it.
+func TestWarmupThatBeginsIsPropagated(t *testing.T) {
+	is := is.New(t)
+	r := registry.New()
+	is.Equal(len(r.Merge(entry("a", 100, 1, registry.Ready), start)), 1)
+	cold := func(incarnation int64, seq uint64, left time.Duration) registry.Entry {
+		e := entry("a", incarnation, seq, registry.Ready)
+		e.WarmupLeft = left
+		return e
+	}
+	at := start.Add(time.Second)
+	is.Equal(len(r.Merge(cold(100, 2, 3*time.Second), at)), 1) // announced by the upstream
+	is.Equal(len(r.Merge(cold(100, 3, 2*time.Second), at.Add(time.Second))), 0)
+	is.Equal(len(r.Merge(cold(100, 3, 3*time.Second), at.Add(time.Second))), 0) // a late copy
+	at = at.Add(time.Minute)
+	is.Equal(len(r.Merge(cold(100, 2, 3*time.Second), at)), 0) // an earlier announcement
+	observed := cold(99, 9, 3*time.Second)
+	observed.Observed = true
+	is.Equal(len(r.Merge(observed, at)), 0) // in a response of an earlier process
+	observed = cold(100, 1, 3*time.Second)
+	observed.Observed = true
+	is.Equal(len(r.Merge(observed, at)), 1) // by a process that does not know the newest announcement
+	is.Equal(len(r.Merge(observed, at)), 0)
+	is.Equal(r.All(at.Add(time.Second))[0].WarmupLeft, 2*time.Second)
+}
+
 // Guards against tombstones that are dropped too early or never, and against a warm-up that does not end.
 func TestExpire(t *testing.T) {
 	is := is.New(t)
