edge: health requests read the health path under the lock

A change of a service's health path raced with health requests (review, 17 reports with -race). TestHealthPathChanges fails with the race detector before and passes after.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -84,22 +84,22 @@
 // requestHealth sends a health request on an idle connection. If the upstream had closed that connection, it sends the
 // request again on a new one.
 func (s *service) requestHealth(ctx context.Context, c balancing.Candidate) (*http.Response, error) {
-	pool := s.pool(c.Address)
-	resp, reused, err := s.requestHealthOn(ctx, pool, c, false)
+	pool, path := s.pool(c.Address), s.currentHealthPath()
+	resp, reused, err := requestHealthOn(ctx, pool, c.Address, path, false)
 	if reused && errors.Is(err, upstreamconn.ErrConnLost) {
-		resp, _, err = s.requestHealthOn(ctx, pool, c, true)
+		resp, _, err = requestHealthOn(ctx, pool, c.Address, path, true)
 	}
 	return resp, err
 }
 
 // requestHealthOn returns the response after reading its body.
-func (s *service) requestHealthOn(ctx context.Context, pool *upstreamconn.Pool, c balancing.Candidate, forceNew bool) (resp *http.Response, reused bool, err error) {
+func requestHealthOn(ctx context.Context, pool *upstreamconn.Pool, address, path string, forceNew bool) (resp *http.Response, reused bool, err error) {
 	conn, err := pool.Connect(ctx, forceNew)
 	if err != nil {
 		return nil, false, err
 	}
 	r := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: c.Address, Path: s.healthPath}, Host: c.Address,
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Host: address,
 		Header: http.Header{"User-Agent": {""}}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody,
 	}
 	resp, _, err = conn.Exchange(ctx, r)
@@ -116,6 +116,12 @@
 	return resp, conn.Reused(), err
 }
 
+func (s *service) currentHealthPath() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthPath
+}
+
 func (s *service) mayProbe(upstream string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/probe_test.go
+++ b/internal/edge/probe_test.go
@@ -82,3 +82,24 @@
 	s.probe(t.Context(), probed)
 	is.Equal(len(s.balancer.Rank(balancing.Requirements{Zone: "z"}, time.Now())), 0)
 }
+
+// Guards against a data race between health requests and a change of the health path. It needs the race detector.
+func TestHealthPathChanges(t *testing.T) {
+	u := newUpstream(t, "a", succeed)
+	state := clusterState(u.entry())
+	g := newGateway(t, state)
+	s := g.service("s")
+	probed := balancing.Candidate{ID: "a", Address: u.entry().Address}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 200 {
+			s.probe(t.Context(), probed)
+		}
+	}()
+	for i := range 200 {
+		state.View.Config.Services[0].HealthPath = []string{"/health", "/healthz"}[i%2]
+		g.Update(state, time.Now())
+	}
+	<-done
+}
