roster, cluster: a VM that no connected replica confirms is dropped after 3 s

Cause: the reports of a lost replica are dropped, but the last one for a VM is kept, for processes that are isolated from all replicas. The replica that comes back does not know the VM and never reports it as dead.

Change: such a VM is dropped after 3 s with a connection to another replica.

TestUnconfirmedNodeExpires is new and needs the new functions.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -112,7 +112,12 @@
 	for {
 		c.dialReplicas(ctx)
 		now := time.Now()
-		c.nodes.Expire(now)
+		if lost := c.nodes.Expire(now); len(lost) > 0 {
+			for _, n := range lost {
+				c.log.Info("process lost, no replica has confirmed it", zap.String("lost_vm", n.Name))
+			}
+			c.notify()
+		}
 		c.registry.Expire(now, c.cfg.UpstreamExpiry)
 		select {
 		case <-ticker.C:
--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -103,6 +103,9 @@
 func (c *Cluster) applyUpdate(l *nodelink.Link, u update) {
 	now := time.Now()
 	before := c.nodes.Revision()
+	if len(u.Reports) > 0 { // only replicas send reports
+		c.nodes.AddReporter(l.Remote, now)
+	}
 	for _, report := range u.Reports {
 		c.raiseIncarnation(report.Node)
 		if c.nodes.Report(l.Remote, report, now) && !c.nodes.IsAlive(report.Node.IP) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -61,6 +61,54 @@
 	is.Equal(r.Alive()[0].State, roster.Leaving)
 }
 
+// Guards against a dead process to which clients are directed for ever, because the only replica that reported it as alive was lost
+// at the same moment, and is back without knowing it.
+func TestUnconfirmedNodeExpires(t *testing.T) {
+	a, b := node("10.0.0.1", 100, 1, roster.Serving), node("10.0.0.2", 100, 1, roster.Serving)
+	for _, test := range []struct {
+		description string
+		then        func(r *roster.Roster) // after the connections to r1 and r2 are lost
+		alive       bool                   // UnconfirmedRetention later
+	}{
+		{"isolated", func(*roster.Roster) {}, true},
+		{"the replica is back without knowing it", func(r *roster.Roster) {
+			r.AddReporter("r1", start)
+			r.Report("r1", alive(b), start)
+		}, false},
+		{"another replica is back", func(r *roster.Roster) { r.AddReporter("r2", start) }, false},
+		{"confirmed", func(r *roster.Roster) {
+			r.AddReporter("r2", start)
+			r.Report("r2", alive(a), start)
+		}, true},
+		{"confirmed and lost", func(r *roster.Roster) {
+			r.AddReporter("r2", start)
+			r.Report("r2", alive(a), start)
+			r.Report("r2", dead(a), start)
+		}, false},
+		{"connected only later", func(r *roster.Roster) { r.AddReporter("r2", start.Add(time.Second)) }, true},
+		{"a new process", func(r *roster.Roster) {
+			r.AddReporter("r2", start)
+			r.Report("r2", alive(node("10.0.0.1", 200, 1, roster.Serving)), start)
+		}, true},
+	} {
+		t.Run(test.description, func(t *testing.T) {
+			is := is.New(t)
+			r := roster.New()
+			r.AddReporter("r1", start)
+			r.AddReporter("r2", start)
+			r.Report("r1", alive(a), start)
+			r.DropReports("r1", start)
+			r.DropReports("r2", start)
+			test.then(r)
+			is.Equal(len(r.Expire(start.Add(roster.UnconfirmedRetention-time.Millisecond))), 0)
+			before := r.Revision()
+			lost := r.Expire(start.Add(roster.UnconfirmedRetention))
+			is.Equal(r.IsAlive("10.0.0.1"), test.alive)
+			is.Equal(len(lost) == 1, r.Revision() > before)
+		})
+	}
+}
+
 // Guards against an empty membership list in a process that has lost its connections to all replicas.
 func TestDropReportsKeepsLastView(t *testing.T) {
 	is := is.New(t)
