pipeline: requests end when the client closes the connection after its last request

Cause: a closed connection is noticed by the read for the next request, and there was no such read after the last one.

Change: the connection is read on, up to 64 KiB, while responses are pending.

TestContextEndsWhenClientLeavesAfterItsLastRequest did not end on the former code and passed in 3 of 3 runs with -race.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -23,6 +23,8 @@
 	// lingerTimeout limits how long further data is read after the last response. Closing a connection with unread data
 	// resets it, and the client could lose the response.
 	lingerTimeout = 500 * time.Millisecond
+	// maxDiscarded limits the data in bytes that is read after the last request while its response is pending.
+	maxDiscarded = 64 << 10
 )
 
 // conn is one client connection. One goroutine reads the requests, and one goroutine per request runs the handler.
@@ -75,10 +77,35 @@
 		turn = x.done
 		handlers.Go(x.handle)
 	}
+	c.awaitClose()
 	handlers.Wait()
 	c.linger()
 }
 
+// awaitClose reads while responses are pending after the last request, so that the requests end if the client closes the
+// connection. Data that arrives belongs to no accepted request and is discarded.
+func (c *conn) awaitClose() {
+	c.mu.Lock()
+	pending := c.pending > 0 && c.ctx.Err() == nil
+	if pending {
+		// The end of the last response interrupts the read. An error means that the connection is closed already.
+		_ = c.netConn.SetReadDeadline(time.Time{})
+	}
+	c.mu.Unlock()
+	if !pending {
+		return
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(c.reader, maxDiscarded))
+	if n < maxDiscarded && !isTimeout(err) {
+		c.cancel()
+	}
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // awaitCapacity waits while maxPending requests are pending. It returns false if no more requests are accepted.
 func (c *conn) awaitCapacity() bool {
 	for {
@@ -185,6 +212,9 @@
 	status := 0
 	var bodyTooLarge *http.MaxBytesError
 	switch {
+	case isConnectionError(err) && !isTimeout(err):
+		c.cancel()
+		return
 	case ended:
 		return // drain or a response with Connection: close ended the read
 	case errors.Is(err, errHeaderTooLarge):
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -118,6 +118,40 @@
 	<-ended
 }
 
+// Guards against requests that run on although the client has left, if the connection was to end with them. Data that the client
+// sends after its last request must not hide that.
+func TestContextEndsWhenClientLeavesAfterItsLastRequest(t *testing.T) {
+	last := strings.Replace(get("/last"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+	for description, sent := range map[string]string{
+		"one request": last, "after another request": get("/1") + last, "HTTP/1.0": "GET / HTTP/1.0\r\n\r\n", "further data": last + "GET",
+	} {
+		t.Run(description, func(t *testing.T) {
+			is := is.New(t)
+			requests := strings.Count(sent, "HTTP/1.")
+			started, ended := make(chan struct{}, requests), make(chan struct{}, requests)
+			_, c := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+				ended <- struct{}{}
+				panic(http.ErrAbortHandler)
+			})
+			_, err := io.WriteString(c, sent)
+			is.NoErr(err)
+			for range requests {
+				<-started
+			}
+			c.Close()
+			for range requests {
+				select {
+				case <-ended:
+				case <-time.After(5 * time.Second):
+					t.Fatal("the request runs on after the client has left")
+				}
+			}
+		})
+	}
+}
+
 // Guards against a truncated response that looks complete to the client.
 func TestIncompleteResponseIsAborted(t *testing.T) {
 	for _, test := range []struct {
