edge: a long response ends if its upstream is silent after the deadline

Cause: the deadline ends with call.run, which returns when the response has begun; the rest of a long body was read without one.

Change: once the deadline has passed, 0.25 s without data abort the response. One that still arrives is delivered.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -61,6 +61,8 @@
 	// maxUnframedResponse limits the length of a response that does not declare one, in bytes, because a faulty upstream
 	// may send without end.
 	maxUnframedResponse = 64 << 20
+	// maxSilence is the time without data after which a response is aborted if the request's deadline has passed.
+	maxSilence = 250 * time.Millisecond
 	// slowLink is the link speed in bit/s below which long responses are paced. At 50 Mbit/s a download of 90 KB takes
 	// 14 ms.
 	slowLink = 50e6
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -155,6 +155,7 @@
 	stop := context.AfterFunc(c.r.Context(), a.cancel)
 	defer stop()
 	body := newResponseReader(a.resp, len(a.buffered))
+	defer body.cancelIfSilent(c.deadline, a.cancel)()
 	if err := c.g.pacer.copy(a.ctx, c.w, body); err != nil {
 		if body.err != nil && c.r.Context().Err() == nil {
 			a.recordBrokenBody()
