pipeline, edge, entrynode: request bodies in flight have one memory budget

Cause: bodies are read into memory before any limit counts, and edge copied them.

Change: the bytes of a body are reserved before it is read, from a quarter of the VM's memory; what does not fit gets 503 at once, not run.

The peak memory was not measured again.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -116,6 +116,10 @@
 	if c.r.ContentLength > limit {
 		return &bodyTooLarge
 	}
+	if held, ok := c.r.Body.(interface{ Bytes() []byte }); ok { // the server has read it
+		c.body = held.Bytes()
+		return nil
+	}
 	reserved := max(c.r.ContentLength, 0)
 	if c.g.bufferedRequestBytes.Add(reserved) > maxBufferedRequestBytes {
 		c.g.bufferedRequestBytes.Add(-reserved)
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -47,6 +47,11 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes bounds a request body regardless of the configuration, because bodies are buffered in memory.
 	maxBodyBytes = 16 << 20
+	// bodyMemoryShare is the share of the memory that the bodies of the requests in flight may take together. The garbage
+	// collector lets the heap grow to one and a half times of what is in use.
+	bodyMemoryShare = 0.25
+	// defaultBodyMemory replaces it if the memory is unknown.
+	defaultBodyMemory = 64 << 20
 	// serveFraction is the fraction of the grace period after SIGTERM during which connections are still accepted, for
 	// clients whose cached addresses include this process.
 	serveFraction = 0.62
@@ -172,13 +177,25 @@
 func (n *Node) entryServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: n.gateway, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
-		MaxBodyBytes: maxBodyBytes,
+		MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: n.bodyMemory(),
+		OnBodyRefused: func(r *http.Request) {
+			n.log.Warn("refused, the bodies of the requests in flight take too much memory", zap.Int64("bytes", r.ContentLength),
+				zap.String("request", r.Header.Get(n.adapter.Protocol().RequestIDHeader)))
+		},
 		OnPanic: func(value any, stack []byte) {
 			n.log.Error("panic while serving a request", zap.Any("value", value), zap.ByteString("stack", stack))
 		},
 	}
 }
 
+// bodyMemory returns the number of bytes that request bodies may take.
+func (n *Node) bodyMemory() int64 {
+	if memory := n.settings.Load().MemoryBytes; memory > 0 {
+		return int64(bodyMemoryShare * float64(memory))
+	}
+	return defaultBodyMemory
+}
+
 func (n *Node) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/entrynode/settings.go
+++ b/internal/entrynode/settings.go
@@ -33,6 +33,8 @@
 	// period of RetryWindow, RetryRatio times the number of requests, plus RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// MemoryBytes is the memory that the process may use; zero means unknown.
+	MemoryBytes int64
 	// LinkBitsPerSecond is the speed of the VM's link; zero means unknown.
 	LinkBitsPerSecond float64
 	// ColdFactor and ColdSlack bound the requests to a cold upstream across all gateways: in any second, the service's
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -45,11 +44,14 @@
 	last      *exchange     // most recently accepted request
 	completed chan struct{} // signals that a response was completed
 	aborted   bool
+
+	body bodyReader // of the request that is being read; used only by the reading goroutine
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, netConn: raw, accepting: true, completed: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.body.server = s
 	c.limit = headerLimitReader{conn: raw, remaining: -1}
 	c.reader = bufio.NewReaderSize(&c.limit, 2<<10)
 	c.writer = bufio.NewWriterSize(raw, 2<<10)
@@ -77,6 +79,7 @@
 		turn = x.done
 		handlers.Go(x.handle)
 	}
+	c.body.release()
 	c.awaitClose()
 	handlers.Wait()
 	c.linger()
@@ -170,20 +173,30 @@
 }
 
 func (c *conn) readBody(r *http.Request, turn <-chan struct{}) error {
+	err := c.bufferBody(r, turn)
+	if errors.Is(err, errBodiesTooLarge) && c.server.OnBodyRefused != nil {
+		c.server.OnBodyRefused(r)
+	}
+	return err
+}
+
+func (c *conn) bufferBody(r *http.Request, turn <-chan struct{}) error {
+	if err := c.body.reserve(r.ContentLength); err != nil {
+		return err
+	}
 	if r.Header.Get("Expect") == "100-continue" {
 		<-turn // an interim response must not overtake earlier responses
 		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return err
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, c.server.MaxBodyBytes+1))
+	data, err := c.body.read(r.Body, r.ContentLength)
 	if err != nil {
 		return err
 	}
-	if int64(len(body)) > c.server.MaxBodyBytes {
-		return &http.MaxBytesError{Limit: c.server.MaxBodyBytes}
-	}
-	r.Body, r.ContentLength, r.TransferEncoding = io.NopCloser(bytes.NewReader(body)), int64(len(body)), nil
+	body := &Body{data: data}
+	body.Reset(data)
+	r.Body, r.ContentLength, r.TransferEncoding = body, int64(len(data)), nil
 	return nil
 }
 
@@ -199,7 +212,8 @@
 	}
 	c.reading = false
 	c.pending++
-	c.last = &exchange{conn: c, request: r.WithContext(c.ctx), turn: turn, done: make(chan struct{})}
+	c.last = &exchange{conn: c, request: r.WithContext(c.ctx), turn: turn, done: make(chan struct{}), bodyBytes: c.body.reserved}
+	c.body.reserved = 0
 	return c.last
 }
 
@@ -219,6 +233,8 @@
 		return // drain or a response with Connection: close ended the read
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodiesTooLarge):
+		status = http.StatusServiceUnavailable
 	case errors.As(err, &bodyTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	case isConnectionError(err):
@@ -245,6 +261,9 @@
 	resp := http.Response{
 		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: http.Header{}, Body: http.NoBody,
 	}
+	if status == http.StatusServiceUnavailable {
+		resp.Header.Set("Retry-After", "0") // another server may have room
+	}
 	// Errors are ignored: the client may have disconnected, and the connection is closed next in any case.
 	_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_ = resp.Write(c.netConn)
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -26,11 +26,13 @@
 	body       io.WriteCloser // nil until the header was written and for a response without a body
 	remaining  int64          // bytes of the declared length not yet written; -1 if no length was declared
 	err        error
+	bodyBytes  int64 // reserved for the request body
 }
 
 // handle runs the handler and completes the response.
 func (x *exchange) handle() {
 	defer x.conn.responseDone()
+	defer x.conn.server.bodies.release(x.bodyBytes)
 	defer close(x.done)
 	defer func() {
 		if p := recover(); p != nil {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -23,6 +23,11 @@
 	MaxHeaderBytes int64
 	// MaxBodyBytes limits the size of a request body in bytes, which is read into memory before the handler runs.
 	MaxBodyBytes int64
+	// MaxBufferedBytes limits the bodies of all requests in flight together, in bytes. A request whose body does not fit gets 503
+	// before the handler runs. Zero means no limit.
+	MaxBufferedBytes int64
+	// OnBodyRefused is called with a request that was refused because of MaxBufferedBytes. It may be nil.
+	OnBodyRefused func(r *http.Request)
 	// OnPanic is called after a handler panicked with a value other than http.ErrAbortHandler. The connection is closed in
 	// both cases. It may be nil.
 	OnPanic func(value any, stack []byte)
@@ -33,6 +38,7 @@
 	stopped  chan struct{} // closed when Serve accepts no more connections
 	conns    map[*conn]struct{}
 	active   sync.WaitGroup
+	bodies   byteBudget
 }
 
 // backlogTime is how long connections are still accepted after the start of a shutdown. Closing a listener resets the
