--- a/internal/cluster/registryfile_test.go
+++ b/internal/cluster/registryfile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -45,3 +46,20 @@
 		})
 	}
 }
+
+// BenchmarkSaveRegistry saves the upstreams of a region at the target size; see docs/CAPACITY.md.
+func BenchmarkSaveRegistry(b *testing.B) {
+	entries := make([]registry.Entry, 1727)
+	for i := range entries {
+		entries[i] = registry.Entry{
+			ID: fmt.Sprintf("i-%08x", i), Service: fmt.Sprintf("service%d", i%191), Address: fmt.Sprintf("10.%d.%d.9:8080", i/250, i%250),
+			Zone: "jackson", Version: "v1", Slots: 6, State: registry.Ready, Incarnation: 1796481762716 + int64(i), Seq: uint64(i),
+		}
+	}
+	dir := b.TempDir()
+	for b.Loop() {
+		if err := saveRegistry(vfs.OS{}, dir, entries); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
