cluster: departures that arrive before the saved upstreams are loaded are saved

A replica that gets a drain between its start and the loading of its saved upstreams acknowledged it without writing it: the revision after loading counted as saved.

--- a/internal/cluster/registryfile.go
+++ b/internal/cluster/registryfile.go
@@ -35,7 +35,7 @@
 		c.log.Warn("failed to load the saved upstreams", zap.Error(err))
 	}
 	c.merge(entries...)
-	saved := c.registry.Revision()
+	saved := uint64(0) // announcements may have arrived before the file was loaded
 	ticker := time.NewTicker(saveInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/cluster/registryfile_test.go
+++ b/internal/cluster/registryfile_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// Guards against the acknowledgement of a departure that arrives before the saved upstreams are loaded and that is not saved.
+func TestDepartureBeforeLoadIsSaved(t *testing.T) {
+	is := is.New(t)
+	entry := func(id string, state registry.State) registry.Entry {
+		return registry.Entry{ID: id, Service: "s", Zone: "z", State: state, Incarnation: 1, Seq: 1}
+	}
+	c := newUnconnectedCluster(Config{DataDir: t.TempDir()})
+	is.NoErr(saveRegistry(vfs.OS{}, c.cfg.DataDir, []registry.Entry{entry("a", registry.Ready)}))
+	c.merge(entry("b", registry.Draining))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.persistRegistry(ctx, vfs.OS{})
+	}()
+	is.NoErr(c.awaitSaved(ctx))
+	cancel()
+	<-done
+	saved, err := loadRegistry(vfs.OS{}, c.cfg.DataDir)
+	is.NoErr(err)
+	is.Equal(len(saved), 2)
+}
+
 // BenchmarkSaveRegistry saves the upstreams of a region at the target size; see docs/CAPACITY.md.
 func BenchmarkSaveRegistry(b *testing.B) {
 	entries := make([]registry.Entry, 1727)
