--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -172,7 +172,7 @@
 	c.mu.Lock()
 	for _, e := range entries {
 		if err := e.Validate(); err != nil {
-			invalid, lastErr = invalid+1, errors.Wrapf(err, "upstream %q", e.ID)
+			invalid, lastErr = invalid+1, err
 			continue
 		}
 		for _, entry := range c.registry.Merge(e, now) {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -65,7 +65,7 @@
 		}
 		if outcome != balancing.AddressReassigned {
 			a.call.service.recordLimit(a.candidate.ID, a.resp.Header, false, now)
-			a.call.service.recordWishes(a.candidate, a.resp, now)
+			a.call.service.recordHints(a.candidate, a.resp, now)
 		}
 	}
 	a.call.service.mu.Unlock()
--- a/internal/edge/cold_watch.go
+++ b/internal/edge/cold_watch.go
@@ -88,7 +88,7 @@
 	if _, ok := p.Load(resp.Header); ok {
 		s.reportsLoad = true
 	}
-	s.recordWishes(c, resp, now)
+	s.recordHints(c, resp, now)
 	left := p.WarmupLeft(resp.Header)
 	if !s.balancer.RecordHealth(c.ID, c.Incarnation, resp.StatusCode == http.StatusOK, left, now) {
 		return
--- a/internal/edge/hints.go
+++ b/internal/edge/hints.go
@@ -9,9 +9,9 @@
 	"github.com/bramleypick/bramleypick/balancing"
 )
 
-// recordWishes records what a response of an upstream says about further requests: that it leaves, or wants a pause. The caller
+// recordHints records what a response of an upstream says about further requests: that it leaves, or wants a pause. The caller
 // holds mu.
-func (s *service) recordWishes(c balancing.Candidate, resp *http.Response, now time.Time) {
+func (s *service) recordHints(c balancing.Candidate, resp *http.Response, now time.Time) {
 	p := &s.cfg.Protocol
 	if p.Leaving(resp.Header) && s.balancer.RecordLeaving(c.ID, c.Incarnation) {
 		s.cfg.Log.Info("upstream says that it leaves", zap.String("upstream", c.ID), zap.String("service", s.name),
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if id != "" { // otherwise another upstream may have responded
-		s.recordWishes(c, resp, now)
+		s.recordHints(c, resp, now)
 	}
 	s.failures.record(c.ID, false, now)
 	s.meanProbeTime += time.Duration(probeGain * float64(now.Sub(started)-s.meanProbeTime))
--- a/registry/validate.go
+++ b/registry/validate.go
@@ -23,9 +23,9 @@
 // Validate returns an error if the entry cannot come from an upstream that works. Such an entry must not be merged: it could
 // keep other processes from decoding the entries that are sent along with it, or replace those of other upstreams.
 func (e *Entry) Validate() error {
-	for field, text := range map[string]string{"id": e.ID, "service": e.Service, "zone": e.Zone, "version": e.Version} {
+	for _, text := range [...]string{e.ID, e.Service, e.Zone, e.Version} {
 		if !isName(text) {
-			return errors.Errorf("%s: is longer than %d bytes, is not valid UTF-8, or has control characters", field, maxNameBytes)
+			return errors.Errorf("text %q is longer than %d bytes, is not valid UTF-8, or has control characters", text[:min(len(text), maxNameBytes)], maxNameBytes)
 		}
 	}
 	switch {
