balancing: a request waits for an upstream that backs off while the others pause

If some upstreams had asked for a pause and the others were unreachable or not healthy, requests were refused at once until the end of the pause, although a backoff of 250 ms may end before. The time until the next upstream now includes backoffs. Found by reading; no run showed it.

--- a/balancing/exclusion.go
+++ b/balancing/exclusion.go
@@ -35,8 +35,8 @@
 // Excluded counts the upstreams of a service that may not get a request now.
 type Excluded struct {
 	counts [exclusions]int
-	// UntilNext is the time until the first pause ends or this gateway may send to an upstream with a request limit again. It is
-	// math.MaxInt64 if there is no such upstream.
+	// UntilNext is the time until the first pause or backoff ends, or this gateway may send to an upstream with a request limit
+	// again. It is math.MaxInt64 if there is no such upstream.
 	UntilNext time.Duration
 }
 
@@ -76,7 +76,7 @@
 	case u.addressReassigned:
 		return Reassigned, unknown
 	case now.Before(u.backoffUntil):
-		return BackingOff, unknown
+		return BackingOff, u.backoffUntil.Sub(now)
 	}
 	if u.cold(now) && s.cfg.ColdPerSecond > 0 {
 		if !u.ownedWhileCold() {
@@ -136,8 +136,8 @@
 	return owned
 }
 
-// RecordHealth records a health response that was not requested for a request. Its delay says nothing, as it may have waited for a
-// slot. RecordHealth reports whether the upstream has turned cold.
+// RecordHealth records the response to a periodic health request. Unlike that to a probe, it may have waited for a slot, so that its
+// delay says nothing. RecordHealth reports whether the upstream has turned cold.
 func (s *Service) RecordHealth(id string, incarnation int64, healthy bool, warmupLeft time.Duration, now time.Time) bool {
 	u := s.upstreams[id]
 	if u == nil || u.Incarnation != incarnation {
--- a/balancing/service.go
+++ b/balancing/service.go
@@ -98,9 +98,9 @@
 	return t
 }
 
-// Rank returns the upstreams that may get a request now, best first; see Excluded for the others. Suspect upstreams come last. Among the others,
-// good enough ones of the local zone come first. Within these groups, the estimate in steps decides, then the local
-// zone, then the affinity. The result is valid until the next call.
+// Rank returns the upstreams that may get a request now, best first; see Excluded for the others. Suspect upstreams come last.
+// Among the others, good enough ones of the local zone come first. Within these groups, the estimate in steps decides, then the
+// local zone, then the affinity. The result is valid until the next call.
 func (s *Service) Rank(r Requirements, now time.Time) []Candidate {
 	mean := s.serviceTime(r).mean
 	step := max(mean/estimateSteps, time.Millisecond)
