cluster: orders are refused right after a pause of the process

The operator had called a frozen replica and given up. The replica went on, caught up with the newer orders, and only then read the call, so that the late order named the newest one and was accepted.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -41,6 +41,7 @@
 	publishSignal chan struct{}
 	viewFetches   chan *nodelink.Link
 	saveRequests  chan chan<- error // see awaitSaved
+	pauses        pauseDetector
 
 	mu                sync.Mutex
 	self              roster.Node
@@ -112,6 +113,7 @@
 	for {
 		c.dialReplicas(ctx)
 		now := time.Now()
+		c.pauses.tick(now)
 		if lost := c.nodes.Expire(now); len(lost) > 0 {
 			for _, n := range lost {
 				c.log.Info("process lost, no replica has confirmed it", zap.String("lost_vm", n.Name))
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -35,6 +35,10 @@
 func (c *Cluster) submitEvacuation(ctx context.Context, e routingstate.Evacuation) (routingstate.Result, error) {
 	receivedAt := time.Now()
 	after := c.View().LastOrders[e.Zone]
+	if c.pauses.recentlyPaused(receivedAt) {
+		c.log.Info("order refused, it may have been sent before a pause of this process", zap.String("zone", e.Zone), zap.Bool("end", e.End))
+		return routingstate.Result{}, errors.Wrap(ErrControlUnavailable, "this process was paused")
+	}
 	for {
 		e.After = &after
 		result, err := c.submit(ctx, routingstate.Command{Evacuate: &e})
