asynclog: limit the bytes of the queue

Cause: the queue of the log was limited to 512 lines of any length. A line carries the whole id, and JSON takes six bytes for each byte that is not text, so that a queue whose reader is slow held up to 190 MB.

The queue now has a limit of 512 KiB too, beyond which lines are dropped and counted as before, so that no line can make it take more. Values that clients choose appear in log lines with at most 256 bytes and their length, so that lines about such requests are still written, and encoding them takes no memory of their size.

--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -75,3 +75,28 @@
 	is.Equal(both, allowed)
 	is.True(a.Allow("x", now.Add(time.Second))) // in the next second
 }
+
+// Guards against a queue of long lines that takes more memory than its capacity while the output is not read.
+func TestQueueIsLimitedInBytes(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := NewSink(blockedWriter{release})
+	const lines = 100
+	line := bytes.Repeat([]byte("x"), queueBytes/10)
+	for range lines {
+		_, err := s.Write(line)
+		is.NoErr(err)
+	}
+	is.True(s.queued.Load() <= queueBytes)
+	is.Equal(s.dropped.Load(), int64(lines-10))
+	close(release)
+	s.Close(time.Minute)
+	is.Equal(s.queued.Load(), int64(0))
+}
+
+// Guards against log lines whose length clients decide.
+func TestAbbreviate(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Abbreviate("9c41d07be2a35f68"), "9c41d07be2a35f68")
+	is.Equal(Abbreviate(strings.Repeat("\xff", 60000)), strings.Repeat("\xff", MaxValueBytes)+"... (60000 bytes)")
+}
--- a/internal/asynclog/sink.go
+++ b/internal/asynclog/sink.go
@@ -14,6 +14,8 @@
 const (
 	// queueLines is the capacity of the queue in lines. At 300 bytes each they take 150 KB.
 	queueLines = 512
+	// queueBytes is the capacity of the queue in bytes, since callers decide how long some lines are.
+	queueBytes = 512 << 10
 	// reportInterval is the period at which the number of dropped lines is logged.
 	reportInterval = time.Second
 )
@@ -23,6 +25,7 @@
 type Sink struct {
 	out     io.Writer
 	queue   chan []byte
+	queued  atomic.Int64 // bytes in queue and of the line that is being written
 	dropped atomic.Int64
 	closed  chan struct{}
 	done    sync.WaitGroup
@@ -37,14 +40,23 @@
 
 // Write queues a line, or drops and counts it if the queue is full.
 func (s *Sink) Write(line []byte) (int, error) {
+	if s.queued.Add(int64(len(line))) > queueBytes {
+		s.drop(line)
+		return len(line), nil
+	}
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
-		s.dropped.Add(1)
+		s.drop(line)
 	}
 	return len(line), nil
 }
 
+func (s *Sink) drop(line []byte) {
+	s.queued.Add(-int64(len(line)))
+	s.dropped.Add(1)
+}
+
 // Sync implements zapcore.WriteSyncer. It does not wait, because the reader of the log may have stopped reading.
 func (s *Sink) Sync() error { return nil }
 
@@ -95,6 +107,7 @@
 
 // write writes a line to the output. An error cannot be logged, so the line is counted as dropped.
 func (s *Sink) write(line []byte) {
+	defer s.queued.Add(-int64(len(line)))
 	if _, err := s.out.Write(line); err != nil {
 		s.dropped.Add(1)
 	}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleypick/bramleypick/balancing"
 	"github.com/bramleypick/bramleypick/crashguard"
+	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/internal/hopheader"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
@@ -176,7 +177,7 @@
 		if body.err != nil && c.r.Context().Err() == nil {
 			a.recordBrokenBody()
 		}
-		c.g.cfg.Log.Warn("response aborted", zap.String("request", c.id), zap.String("upstream", a.candidate.ID), zap.Error(err))
+		c.g.cfg.Log.Warn("response aborted", zap.String("request", asynclog.Abbreviate(c.id)), zap.String("upstream", a.candidate.ID), zap.Error(err))
 		panic(http.ErrAbortHandler) // so that the client does not take the response for complete
 	}
 }
@@ -234,7 +235,7 @@
 		return
 	}
 	fields := []zap.Field{
-		zap.String("request", c.id), zap.Uint64("config_version", c.configVersion), zap.Int("attempts", c.attempts),
+		zap.String("request", asynclog.Abbreviate(c.id)), zap.Uint64("config_version", c.configVersion), zap.Int("attempts", c.attempts),
 		zap.Float64("ms", float64(time.Since(c.arrived).Microseconds())/1000),
 	}
 	if c.route != nil {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/crashguard"
+	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 	"github.com/bramleypick/bramleypick/internal/cluster"
 	"github.com/bramleypick/bramleypick/internal/edge"
@@ -194,7 +195,7 @@
 		OnRefused: n.countRefusal, OnDisplaced: n.logDisplaced,
 		OnBodyRefused: func(r *http.Request) {
 			n.log.Warn("refused, the bodies of the requests in flight take too much memory", zap.Int64("bytes", r.ContentLength),
-				zap.String("request", r.Header.Get(n.adapter.Protocol().RequestIDHeader)))
+				zap.String("request", asynclog.Abbreviate(r.Header.Get(n.adapter.Protocol().RequestIDHeader))))
 		},
 		OnPanic: n.logPanic,
 	}
--- a/internal/entrynode/operation.go
+++ b/internal/entrynode/operation.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/bramleypick/bramleypick/internal/asynclog"
 )
 
 // Operation is a call of an operator that was answered.
@@ -19,6 +21,6 @@
 
 // LogOperation writes the log line of an operator's call. Its duration includes writing the response.
 func (n *Node) LogOperation(o Operation) {
-	n.log.Info("operator call", zap.String("call", o.Name), zap.Int("status", o.Status), zap.Int64("bytes", o.Bytes),
+	n.log.Info("operator call", zap.String("call", asynclog.Abbreviate(o.Name)), zap.Int("status", o.Status), zap.Int64("bytes", o.Bytes),
 		zap.Float64("ms", float64(time.Since(o.StartedAt).Microseconds())/1000))
 }
