pipeline: hold request bodies in segments that are used again

What callers saw: a body of 64 MiB in chunks, inside max-body-bytes, gets 503 on VMs of 184 and 284 MB although nothing else runs. Crowds that send bodies take more than the VM has.

Cause: two errors in the account of bodies. A body of unknown length was read into a buffer that doubles, and was charged twice its length for that. And the charge ended with the response, while the buffer stayed garbage until the next collection: bodies that came meanwhile took its room a second time.

A body is held in segments of 64 KiB, and the first 4 KiB of one of unknown length in a part of their own. Each is charged before it is taken, and nothing is copied when the body grows, so that 64 MiB in chunks cost what they cost by length. When the response is complete, its segments are used by the next bodies; they do not become garbage. Segments that were not needed for a second are given up, and earlier if clients need the room for other things. A body is released only when the attempts that send it have closed their readers, since otherwise a server could get the bytes of another client (TestSegmentsAreNotReusedWhileTheyAreRead).

--- a/internal/clientbudget/budget.go
+++ b/internal/clientbudget/budget.go
@@ -1,6 +1,7 @@
 package clientbudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -54,6 +55,16 @@
 	return s
 }
 
+// Room returns the number of bytes that are not charged. Without a limit it is the largest number.
+func (b *Budget) Room() int64 {
+	if b.limit <= 0 {
+		return math.MaxInt64
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit - b.used
+}
+
 // Freed returns a channel that is closed at the next release.
 func (b *Budget) Freed() <-chan struct{} {
 	b.mu.Lock()
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -1,9 +1,7 @@
 package edge
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -159,8 +157,8 @@
 		URL:  &url.URL{Scheme: "http", Host: a.candidate.Address, Opaque: c.r.RequestURI},
 		Body: http.NoBody,
 	}
-	if len(c.body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	if length := c.body.Len(); length > 0 {
+		r.Body, r.ContentLength = c.body.NewReader(), length
 	}
 	return r
 }
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/balancing"
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/routing"
 )
 
@@ -23,9 +24,9 @@
 	service       *service
 	configVersion uint64
 	arrived       time.Time
-	deadline      time.Time // the earlier of the client's and the route's
-	body          []byte
-	fingerprint   string // identifies requests like this one; see crashes
+	deadline      time.Time        // the earlier of the client's and the route's
+	body          *bodybuffer.Body // nil if it is empty
+	fingerprint   string           // identifies requests like this one; see crashes
 
 	token callToken
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -15,6 +15,7 @@
 	"github.com/bramleypick/bramleypick/balancing"
 	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/asynclog"
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/hopheader"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
@@ -76,7 +77,7 @@
 	if f := c.readBody(config.maxBody); f != nil {
 		return f
 	}
-	c.fingerprint = crashguard.Fingerprint(c.service.name, c.r.Method, c.r.URL.RequestURI(), c.body)
+	c.fingerprint = crashguard.Fingerprint(c.service.name, c.r.Method, c.r.URL.RequestURI(), c.body.Small(crashguard.MaxHashedBody))
 	if c.g.crashes.records.blocked(c.fingerprint, c.arrived) {
 		return &crashesUpstreams
 	}
@@ -129,8 +130,8 @@
 	if c.r.ContentLength > limit {
 		return &bodyTooLarge
 	}
-	if held, ok := c.r.Body.(interface{ Bytes() []byte }); ok { // the server has read it
-		c.body = held.Bytes()
+	if held, ok := c.r.Body.(interface{ Body() *bodybuffer.Body }); ok { // the server has read it
+		c.body = held.Body()
 		return nil
 	}
 	reserved := max(c.r.ContentLength, 0)
@@ -146,7 +147,7 @@
 	case int64(len(data)) > limit:
 		return &bodyTooLarge
 	}
-	c.body = data
+	c.body = bodybuffer.Of(data)
 	return nil
 }
 
--- a/internal/entrynode/limits.go
+++ b/internal/entrynode/limits.go
@@ -89,7 +89,7 @@
 	return &pipeline.Server{
 		Handler: pipeline.SizedResponses(h), IdleTimeout: idleTimeout, ReadTimeout: apiTimeout, MaxHeaderBytes: maxHeaderBytes,
 		MaxHeaderLines: maxHeaderLines, MaxBodyBytes: maxAPIBody, MaxPending: 1, MaxConnections: n.settings.Load().files(fileShare),
-		Budget: n.budget, LargeShare: apiLargeShare, RefusalBody: refusalBody,
+		Budget: n.budget, Bodies: &n.bodies, LargeShare: apiLargeShare, RefusalBody: refusalBody,
 		OnRefused: n.countRefusal, OnDisplaced: n.logDisplaced, OnPanic: n.logPanic,
 	}
 }
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/asynclog"
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 	"github.com/bramleypick/bramleypick/internal/cluster"
 	"github.com/bramleypick/bramleypick/internal/edge"
@@ -82,6 +83,8 @@
 	leaving  atomic.Bool
 	// budget limits what clients make the process hold.
 	budget *clientbudget.Budget
+	// bodies keeps the memory of request bodies for further ones.
+	bodies bodybuffer.Pool
 	// upstreams limits the connections to upstreams; nil means no limit.
 	upstreams *upstreamconn.Limiter
 	// resourcesLoggedAt is the time of the last log line about refused clients; nil before the first.
@@ -191,7 +194,7 @@
 	return &pipeline.Server{
 		Handler: n.gateway, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
 		MaxHeaderLines: maxHeaderLines, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: n.settings.Load().clientMemory(),
-		MaxConnections: n.settings.Load().files(entryFileShare), Budget: n.budget, RefusalBody: refusalBody,
+		MaxConnections: n.settings.Load().files(entryFileShare), Budget: n.budget, Bodies: &n.bodies, RefusalBody: refusalBody,
 		OnRefused: n.countRefusal, OnDisplaced: n.logDisplaced,
 		OnBodyRefused: func(r *http.Request) {
 			n.log.Warn("refused, the bodies of the requests in flight take too much memory", zap.Int64("bytes", r.ContentLength),
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -1,39 +1,26 @@
 package pipeline
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 )
 
 // errBodiesTooLarge means that the bodies of the requests in flight have reached Server.MaxBufferedBytes.
 var errBodiesTooLarge = errors.New("too many bytes of request bodies are held")
 
 const (
-	// bodyStep is the number of bytes by which a body of unknown length is read.
-	bodyStep = 32 << 10
 	// smallBody is the size up to which a body may use all of MaxBufferedBytes. Larger ones may use largeBodyShare of it, so that a
 	// few slow uploads do not keep out the usual requests.
 	smallBody      = 64 << 10
 	largeBodyShare = 0.8
 )
 
-// Body is a request body that was read completely. It implements io.ReadCloser.
-type Body struct {
-	bytes.Reader
-	data []byte
-}
-
-// Bytes returns the whole body. It must not be changed, and must not be used after the handler has returned.
-func (b *Body) Bytes() []byte { return b.data }
-
-// Close implements io.Closer.
-func (*Body) Close() error { return nil }
-
 // byteBudget counts the bytes that the bodies of the requests in flight take.
 type byteBudget struct{ used atomic.Int64 }
 
@@ -59,7 +46,7 @@
 	if length > b.conn.server.MaxBodyBytes {
 		return &http.MaxBytesError{Limit: b.conn.server.MaxBodyBytes}
 	}
-	return b.grow(max(length, 0))
+	return b.grow(bodybuffer.Cost(max(length, 0)))
 }
 
 // grow reserves n more bytes, in the limit for bodies and in the budget of all clients.
@@ -91,34 +78,33 @@
 	return len(evicted) > 0
 }
 
+// release ends the reservation for a body that was not read completely.
 func (b *bodyReader) release() {
-	b.conn.server.bodies.release(b.reserved)
-	b.conn.holder.Release(b.reserved)
+	b.conn.releaseBody(b.reserved)
 	b.reserved = 0
 }
 
-// read reads a body for which reserve was called. A negative length is unknown.
-func (b *bodyReader) read(from io.Reader, length int64) ([]byte, error) {
+// read reads a body for which reserve was called. A negative length is unknown. The result holds the reservation until it is released.
+func (b *bodyReader) read(from io.Reader, length int64) (*bodybuffer.Body, error) {
+	s := b.conn.server
+	var body *bodybuffer.Body
+	var err error
 	if length >= 0 {
-		data := make([]byte, length)
-		_, err := io.ReadFull(from, data)
-		return data, err
+		body, err = bodybuffer.ReadLength(from, length, s.Bodies)
+	} else {
+		body, err = bodybuffer.ReadAll(from, s.MaxBodyBytes, b.grow, s.Bodies)
 	}
-	var buffer bytes.Buffer
-	for {
-		// Buffers double when they grow, and the former one is still held meanwhile.
-		if err := b.grow(2 * bodyStep); err != nil {
-			return nil, err
-		}
-		n, err := io.CopyN(&buffer, from, bodyStep)
-		if int64(buffer.Len()) > b.conn.server.MaxBodyBytes {
-			return nil, &http.MaxBytesError{Limit: b.conn.server.MaxBodyBytes}
-		}
-		if err == io.EOF {
-			return buffer.Bytes(), nil
-		}
-		if err != nil || n == 0 {
-			return nil, err
-		}
+	if err != nil {
+		return nil, err
 	}
+	conn, reserved := b.conn, b.reserved
+	b.reserved = 0
+	body.OnRelease(func() { conn.releaseBody(reserved) })
+	return body, nil
+}
+
+// releaseBody ends a reservation of n bytes for a body.
+func (c *conn) releaseBody(n int64) {
+	c.server.bodies.release(n)
+	c.holder.Release(n)
 }
--- a/internal/pipeline/body_test.go
+++ b/internal/pipeline/body_test.go
@@ -13,13 +13,14 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 )
 
 // Guards against large uploads that keep out requests with small bodies.
 func TestSmallBodiesFitBesideLargeOnes(t *testing.T) {
 	is := is.New(t)
-	s := &Server{MaxBodyBytes: 1 << 20, MaxBufferedBytes: 4 << 20, Budget: clientbudget.New(0)}
+	s := &Server{MaxBodyBytes: 1 << 20, MaxBufferedBytes: 4 << 20, Budget: clientbudget.New(0), Bodies: &bodybuffer.Pool{}}
 	s.group = s.Budget.NewGroup(0, 1)
 	newReader := func() *bodyReader {
 		client, raw := net.Pipe()
@@ -34,7 +35,9 @@
 	is.Equal(newReader().reserve(1<<20), errBodiesTooLarge)
 	small := newReader()
 	is.NoErr(small.reserve(smallBody))
-	data, err := newReader().read(strings.NewReader("small"), -1)
+	body, err := newReader().read(strings.NewReader("small"), -1)
+	is.NoErr(err)
+	data, err := io.ReadAll(body.NewReader())
 	is.NoErr(err)
 	is.Equal(string(data), "small")
 	small.release()
@@ -57,7 +60,9 @@
 				OnBodyRefused: func(*http.Request) { refused.Add(1) },
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					handled.Add(1)
-					is.Equal(len(r.Body.(*Body).Bytes()), size)
+					n, err := io.Copy(io.Discard, r.Body)
+					is.NoErr(err)
+					is.Equal(n, int64(size))
 					<-release
 				}),
 			}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 )
 
@@ -52,6 +53,8 @@
 	// headBytes are charged to holder for the request that is being read; used only by the reading goroutine.
 	headBytes int64
 	body      bodyReader // of the request that is being read; used only by the reading goroutine
+	// requestBody is that of a request that was read and not accepted yet; used only by the reading goroutine.
+	requestBody *bodybuffer.Body
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -80,6 +83,7 @@
 		}
 		x := c.accept(r, turn)
 		if x == nil {
+			c.requestBody.Release()
 			break
 		}
 		turn = x.done
@@ -190,13 +194,12 @@
 			return err
 		}
 	}
-	data, err := c.body.read(r.Body, r.ContentLength)
+	body, err := c.body.read(r.Body, r.ContentLength)
 	if err != nil {
 		return err
 	}
-	body := &Body{data: data}
-	body.Reset(data)
-	r.Body, r.ContentLength, r.TransferEncoding = body, int64(len(data)), nil
+	c.requestBody = body
+	r.Body, r.ContentLength, r.TransferEncoding = body.NewReader(), body.Len(), nil
 	return nil
 }
 
@@ -214,9 +217,9 @@
 	c.pending++
 	c.updateState()
 	c.last = &exchange{
-		conn: c, request: r.WithContext(c.ctx), turn: turn, done: make(chan struct{}), bodyBytes: c.body.reserved, headBytes: c.headBytes,
+		conn: c, request: r.WithContext(c.ctx), turn: turn, done: make(chan struct{}), requestBody: c.requestBody, headBytes: c.headBytes,
 	}
-	c.body.reserved, c.headBytes = 0, 0
+	c.requestBody, c.headBytes = nil, 0
 	return c.last
 }
 
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 )
 
 var errClientClosed = errors.New("client closed the connection")
@@ -17,19 +19,19 @@
 // exchange is one request and its response. It implements the handler's http.ResponseWriter. Writes wait until all earlier
 // responses are complete.
 type exchange struct {
-	conn       *conn
-	request    *http.Request
-	turn       <-chan struct{} // closed once all earlier responses are complete
-	done       chan struct{}   // closed once this response is complete
-	header     http.Header
-	status     int
-	closeAfter bool
-	body       io.WriteCloser // nil until the header was written and for a response without a body
-	remaining  int64          // bytes of the declared length not yet written; -1 if no length was declared
-	err        error
-	chunked    bool  // the response is sent in chunks
-	bodyBytes  int64 // reserved for the request body
-	headBytes  int64 // charged for the request without its body
+	conn        *conn
+	request     *http.Request
+	turn        <-chan struct{} // closed once all earlier responses are complete
+	done        chan struct{}   // closed once this response is complete
+	header      http.Header
+	status      int
+	closeAfter  bool
+	body        io.WriteCloser // nil until the header was written and for a response without a body
+	remaining   int64          // bytes of the declared length not yet written; -1 if no length was declared
+	err         error
+	chunked     bool             // the response is sent in chunks
+	requestBody *bodybuffer.Body // nil if the request has none
+	headBytes   int64            // charged for the request without its body
 
 	mu       sync.Mutex
 	ended    bool
@@ -53,8 +55,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.ended = true
-	x.conn.server.bodies.release(x.bodyBytes)
-	x.conn.holder.Release(x.bodyBytes + x.headBytes + x.reserved)
+	x.conn.holder.Release(x.headBytes + x.reserved)
+	_ = x.request.Body.Close() // an error concerns only the reading of what is not read any more
+	x.requestBody.Release()
 }
 
 // handle runs the handler and completes the response.
--- a/internal/pipeline/holding.go
+++ b/internal/pipeline/holding.go
@@ -59,9 +59,21 @@
 func (c *conn) tryCharge(n int64) bool {
 	ok, evicted := c.holder.Charge(n, time.Now())
 	closeAll(evicted)
+	if ok {
+		c.server.shrinkBodies()
+	}
 	return ok
 }
 
+// shrinkBodies keeps what the clients hold, and the memory that is kept for further bodies, within the budget together.
+func (s *Server) shrinkBodies() {
+	if free := s.Bodies.FreeBytes(); free > 0 {
+		if room := s.Budget.Room(); free > room {
+			s.Bodies.Shrink(room)
+		}
+	}
+}
+
 // charge is like tryCharge, but waits up to roomWait.
 func (c *conn) charge(n int64) bool {
 	return c.tryCharge(n) || c.await(func() bool { return c.tryCharge(n) })
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 )
 
@@ -45,6 +46,8 @@
 	// OnDisplaced is called when a connection that holds some bytes is closed to make room for others. It may be nil, and must not
 	// block.
 	OnDisplaced func(client net.Addr, held int64)
+	// Bodies keeps the memory of bodies that have ended for further ones. Servers may share it. Nil means one of its own.
+	Bodies *bodybuffer.Pool
 	// MaxBodyBytes limits the size of a request body in bytes, which is read into memory before the handler runs.
 	MaxBodyBytes int64
 	// MaxBufferedBytes limits the bodies of all requests in flight together, in bytes. A request whose body does not fit gets 503
@@ -84,6 +87,9 @@
 	if s.Budget == nil {
 		s.Budget = clientbudget.New(0)
 	}
+	if s.Bodies == nil {
+		s.Bodies = &bodybuffer.Pool{}
+	}
 	s.group = s.Budget.NewGroup(s.MaxConnections, cmp.Or(s.LargeShare, largeShare))
 	s.mu.Unlock()
 	defer close(s.stopped)
--- a/internal/upstreamconn/request_ids_test.go
+++ b/internal/upstreamconn/request_ids_test.go
@@ -55,4 +55,3 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
-
