entrynode: limit and charge the receive buffers of clients

What callers saw: clients that send and do not read, or send while nothing is read from them, take memory that no account shows. The operators count bytes that have arrived and are not read as memory of the process.

Cause: while a response waits to be read, while the most requests are pending or while memory is short, a connection is not read. The system then holds what the client sends, 64 KB on a connection that has just opened and several megabytes on one that has received a body.

The listeners ask for receive buffers of 16 KiB, so that connections announce a small window from the beginning, and every connection is charged for its buffer when it is accepted. The system cannot hold more than is charged for. A request is charged 16 KiB more too, for the connection to the upstream. A request with a body of 64 KiB still counts as a small one.

On a link with a long delay, uploads are slower: a connection carries 16 to 32 KiB for each round trip.

--- a/internal/clientbudget/budget.go
+++ b/internal/clientbudget/budget.go
@@ -9,7 +9,7 @@
 const (
 	// SmallHolding is the number of bytes up to which a connection may use more of the budget than large ones, and may displace any
 	// other one. It allows for an ordinary request with a body of 64 KiB.
-	SmallHolding = 128 << 10
+	SmallHolding = 144 << 10
 	// failureAge is how long a failed search for connections to close is taken for the result of further ones. Each looks at all
 	// connections, and there may be thousands of searches a second while memory is short.
 	failureAge = 20 * time.Millisecond
--- a/internal/entrynode/limits.go
+++ b/internal/entrynode/limits.go
@@ -37,6 +37,9 @@
 	// maxHeaderBytes, whose lines take most of the memory.
 	maxHeaderLines = 16384 / 3
 
+	// clientReceiveBuffer is the size of the receive buffer of a client's connection, in bytes. pipeline charges it with the connection.
+	clientReceiveBuffer = 16 << 10
+
 	// reservedFiles are the file descriptors for listeners, the log, links to replicas, and connections that were accepted and
 	// are closed next.
 	reservedFiles = 40
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -19,6 +19,7 @@
 	"github.com/bramleypick/bramleypick/internal/cluster"
 	"github.com/bramleypick/bramleypick/internal/edge"
 	"github.com/bramleypick/bramleypick/internal/pipeline"
+	"github.com/bramleypick/bramleypick/internal/socketbuffer"
 	"github.com/bramleypick/bramleypick/internal/upstreamconn"
 	"github.com/bramleypick/bramleypick/overload"
 	"github.com/bramleypick/bramleypick/placement"
@@ -166,7 +167,7 @@
 		}
 		// Idle connections are ended by timeouts. TCP keep-alive would cost four more system calls per client
 		// connection.
-		listen := net.ListenConfig{KeepAlive: -1}
+		listen := net.ListenConfig{KeepAlive: -1, Control: socketbuffer.Limit(clientReceiveBuffer)}
 		listener, err := listen.Listen(ctx, "tcp", address)
 		if err != nil {
 			cancel(err)
--- a/internal/pipeline/holding.go
+++ b/internal/pipeline/holding.go
@@ -8,11 +8,11 @@
 
 const (
 	// connBytes is the memory in bytes that an open connection takes: two buffers of 2 KB, the stacks of its goroutines and their
-	// state.
-	connBytes = 16 << 10
+	// state, and a receive buffer of 16 KB.
+	connBytes = 32 << 10
 	// requestBytes is the memory in bytes that an ordinary request takes until its response is complete: the stacks of its goroutines,
-	// buffers of the connection to the upstream, a header of 20 lines, its copy and a response of 4 KB.
-	requestBytes = 32 << 10
+	// buffers of the connection to the upstream with a receive buffer of 16 KB, a header of 20 lines, its copy and a response of 4 KB.
+	requestBytes = 48 << 10
 	// largeShare is the default of Server.LargeShare.
 	largeShare = 0.8
 	// roomWait is how long a request waits for room that other connections release. It is longer than closing them takes.
