edge: limit the receive buffers of connections to upstreams

What callers saw: 60 clients that ask for a download and do not read it take more than a VM has.

Cause: a response above 256 KB is forwarded while it arrives. While the client does not read, the system holds what the upstream sends, up to several megabytes for each connection.

All connections to upstreams now get the receive buffer of 16 KiB that they had on slow links only, and get it before they open.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -93,9 +93,10 @@
 	// maxBufferedResponseSlowLink replaces maxBufferedResponse on a slow link, where buffering a long response takes
 	// 100 ms.
 	maxBufferedResponseSlowLink = 16 << 10
-	// pacedReadBuffer is the size of the socket's receive buffer on a slow link, in bytes. It limits how much of a
-	// response an upstream can send before the gateway reads it.
-	pacedReadBuffer = 16 << 10
+	// upstreamReceiveBuffer is the size of the receive buffer of a connection to an upstream, in bytes. It limits how much of a
+	// response an upstream can send before the gateway reads it: on a slow link this delays other responses, and while the client
+	// does not read it takes memory.
+	upstreamReceiveBuffer = 16 << 10
 	// idleConnTimeout is the time after which idle connections to upstreams are closed. Most upstreams close them after
 	// 10 s. With Config.ReuseConnections, it applies to upstreams that state no timeout.
 	idleConnTimeout = 4 * time.Second
--- a/internal/edge/dial_unix_test.go
+++ b/internal/edge/dial_unix_test.go
@@ -17,17 +17,15 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	for _, p := range []*pacer{nil, newPacer(6e6)} {
-		conn, err := p.dial(t.Context(), listener.Addr().String())
-		is.NoErr(err)
-		defer conn.Close()
-		raw, err := conn.(*net.TCPConn).SyscallConn()
-		is.NoErr(err)
-		keepAlive := -1
-		is.NoErr(raw.Control(func(fd uintptr) {
-			keepAlive, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
-		}))
-		is.NoErr(err)
-		is.Equal(keepAlive, 0)
-	}
+	conn, err := dial(t.Context(), listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	keepAlive := -1
+	is.NoErr(raw.Control(func(fd uintptr) {
+		keepAlive, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+	}))
+	is.NoErr(err)
+	is.Equal(keepAlive, 0)
 }
--- a/internal/edge/pacer.go
+++ b/internal/edge/pacer.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/bramleypick/bramleypick/internal/socketbuffer"
 )
 
 // pacer limits the rate of long responses on a VM with a slow network link. Without it, a download fills the link's
@@ -55,19 +57,9 @@
 	}
 }
 
-// dial opens a connection to an upstream. On a slow link, the connection gets a small receive buffer.
-func (p *pacer) dial(ctx context.Context, address string) (net.Conn, error) {
+// dial opens a connection to an upstream.
+func dial(ctx context.Context, address string) (net.Conn, error) {
 	// All operations on a connection have deadlines. Keep-alive probes would only add four system calls per connection.
-	d := net.Dialer{KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil || p == nil {
-		return conn, err
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if err := tcp.SetReadBuffer(pacedReadBuffer); err != nil {
-			conn.Close()
-			return nil, err
-		}
-	}
-	return conn, nil
+	d := net.Dialer{KeepAlive: -1, Control: socketbuffer.Limit(upstreamReceiveBuffer)}
+	return d.DialContext(ctx, "tcp", address)
 }
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -133,5 +133,5 @@
 	if s.cfg.Dial != nil {
 		return s.cfg.Dial
 	}
-	return s.pacer.dial
+	return dial
 }
