entrynode: scale the memory of links on small VMs

What callers saw: crowds that each port bears alone take more than the VM has when they come together.

Cause: the frames that are being read on links had 32 MiB whatever the memory of the VM, beside 45 % of it for clients. The system's buffers of links grew to several megabytes for a process that sends faster than its frames are handled.

The frames have 32 MiB up to 17.5 % of the memory, which changes nothing from 184 MB on. Links that other processes open have receive buffers of 32 KiB.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleypick/bramleypick/crashguard"
 	"github.com/bramleypick/bramleypick/internal/nodelink"
+	"github.com/bramleypick/bramleypick/internal/socketbuffer"
 	"github.com/bramleypick/bramleypick/overload"
 	"github.com/bramleypick/bramleypick/quota"
 	"github.com/bramleypick/bramleypick/registry"
@@ -28,6 +29,9 @@
 	// fetchTimeout bounds the fetch of a view or a status from one process. A large view takes 100 ms on a link of 6
 	// Mbit/s.
 	fetchTimeout = time.Second
+	// linkReceiveBuffer is the size in bytes of the receive buffer of a link that another process opened. It does not grow for a process
+	// that sends faster than its frames are handled.
+	linkReceiveBuffer = 32 << 10
 )
 
 // Cluster holds the state of the deployment as seen by this process, and its links to other processes. It is safe for
@@ -102,7 +106,8 @@
 
 // Run serves until ctx ends. It returns an error if the peer address cannot be served or the replica's disk fails.
 func (c *Cluster) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", c.cfg.Self.PeerAddress)
+	listen := net.ListenConfig{Control: socketbuffer.Limit(linkReceiveBuffer)}
+	listener, err := listen.Listen(ctx, "tcp", c.cfg.Self.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen on the peer address")
 	}
--- a/internal/entrynode/limits.go
+++ b/internal/entrynode/limits.go
@@ -24,9 +24,11 @@
 	// defaultMemory replaces the memory of the VM in bytes if that is unknown: that of the smallest known VMs.
 	defaultMemory = 184 << 20
 	// linkMemoryShare is the share of the memory that the frames being read on links of other processes may take. They have a part of
-	// their own, since the control group must not depend on what clients do. minLinkMemory is twice the largest frame.
-	linkMemoryShare = 0.1
-	minLinkMemory   = 32 << 20
+	// their own, since the control group must not depend on what clients do. minLinkMemory is twice the largest frame,
+	// and applies up to maxLinkMemoryShare of the memory.
+	linkMemoryShare    = 0.1
+	minLinkMemory      = 32 << 20
+	maxLinkMemoryShare = 0.175
 
 	// apiLargeShare is the share of that memory that large requests to the API may use. It is above that of client requests, so that
 	// these do not keep out the operators' configurations.
@@ -74,7 +76,8 @@
 func (s *Settings) linkLimits() nodelink.Limits {
 	limits := nodelink.Limits{Links: s.files(linkFileShare), FrameBytes: minLinkMemory}
 	if s.MemoryBytes > 0 {
-		limits.FrameBytes = max(minLinkMemory, int64(linkMemoryShare*float64(s.MemoryBytes)))
+		memory := float64(s.MemoryBytes)
+		limits.FrameBytes = int64(max(linkMemoryShare*memory, min(minLinkMemory, maxLinkMemoryShare*memory)))
 	}
 	return limits
 }
