pipeline: let bodies that keep arriving take longer than 10 s

What callers saw: an upload inside all limits of the configuration is cut off, without a response, if it takes longer than 10 s. Clients of uploads wait for 12 s, and 64 MiB take 81 s on a link of 6.6 Mbit/s.

Cause: one timeout applied to the header and the body together. The configuration limits the time for a header only.

Evidence: TestSlowBodyInCalm, 384 KiB in 12 s while nothing else runs, fails on: the connection is closed after 10 s.

The deadline of a request now moves while its body arrives at 16 KiB/s or more.

Measured: TestSlowBodyInCalm gets 200. TestBodyThatTakesLongerThanTheTimeout plays twice and half of the rate on a virtual clock.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -44,6 +44,7 @@
 	accepting bool          // further requests are accepted
 	draining  bool          // at most one more request is accepted, and only if it arrives soon
 	reading   bool          // the first byte of a request has arrived
+	readUntil time.Time     // when the request that is being read must have arrived, without its body
 	pending   int           // accepted requests whose response is not complete
 	last      *exchange     // most recently accepted request
 	completed chan struct{} // signals that a response or a write was completed
@@ -164,7 +165,19 @@
 	defer c.mu.Unlock()
 	c.reading = true
 	c.updateState()
-	return c.netConn.SetReadDeadline(time.Now().Add(c.server.ReadTimeout))
+	c.readUntil = time.Now().Add(c.server.ReadTimeout)
+	return c.netConn.SetReadDeadline(c.readUntil)
+}
+
+// extendRead moves the deadline of a request whose body has arrived up to some length in bytes. It leaves that of a connection on which
+// no more requests are accepted, whose read may have been interrupted.
+func (c *conn) extendRead(length int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.accepting {
+		// An error means that the connection is closed already.
+		_ = c.netConn.SetReadDeadline(c.readUntil.Add(time.Duration(length) * time.Second / minBodyRate))
+	}
 }
 
 // setIdleDeadline sets the deadline for the first byte of the next request. The caller holds mu.
@@ -194,7 +207,7 @@
 			return err
 		}
 	}
-	body, err := c.body.read(r.Body, r.ContentLength)
+	body, err := c.body.read(&bodyProgress{from: r.Body, conn: c}, r.ContentLength)
 	if err != nil {
 		return err
 	}
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -22,7 +22,8 @@
 	Handler http.Handler
 	// IdleTimeout limits the wait for the first byte of the next request.
 	IdleTimeout time.Duration
-	// ReadTimeout limits the time from the first byte of a request to its last, including the body.
+	// ReadTimeout limits the time from the first byte of a request to its last. A body gets more time while it arrives at a rate of 16
+	// KiB/s or more.
 	ReadTimeout time.Duration
 	// MaxHeaderBytes limits the size of a request header, in bytes.
 	MaxHeaderBytes int64
