pipeline: let responses that clients keep reading take longer than 20 s

What callers saw: a download that takes longer than 20 s is cut off, although the client reads all the time: on a link of 2.6 Mbit/s, whatever is longer than 6.5 MB.

Cause: the deadline for writing was set once for the whole response.

The deadline moves while the client takes the response at 16 KiB/s or more.

--- a/internal/pipeline/client_writer.go
+++ b/internal/pipeline/client_writer.go
@@ -8,14 +8,39 @@
 // responseUnread reports whether a response waits to be read by the client.
 func (c *conn) responseUnread() bool { return c.holder.WritingFor(time.Now()) > unreadAfter }
 
-// clientWriter writes to the client, and records while a write waits until the client reads.
+const (
+	// minResponseRate is the mean rate in bytes per second at which a client has to read a response that takes longer than writeTimeout.
+	minResponseRate = 16 << 10
+	// writeStep is the number of bytes after which the deadline of a response is moved.
+	writeStep = 64 << 10
+)
+
+// clientWriter writes to the client, and records while a write waits until the client reads. The deadline of a response moves while the
+// client reads it.
 type clientWriter struct{ conn *conn }
 
 // Write implements io.Writer.
 func (w clientWriter) Write(p []byte) (int, error) {
-	w.conn.holder.WriteStarted(time.Now())
-	n, err := w.conn.netConn.Write(p)
-	w.conn.holder.WriteEnded()
-	w.conn.signalCapacity()
+	written := 0
+	for {
+		step := p[written:min(len(p), written+writeStep)]
+		n, err := w.writeStep(step)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (w clientWriter) writeStep(p []byte) (int, error) {
+	c := w.conn
+	if err := c.netConn.SetWriteDeadline(c.writeUntil.Add(time.Duration(c.written) * time.Second / minResponseRate)); err != nil {
+		return 0, err
+	}
+	c.holder.WriteStarted(time.Now())
+	n, err := c.netConn.Write(p)
+	c.holder.WriteEnded()
+	c.written += int64(n)
+	c.signalCapacity()
 	return n, err
 }
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -19,7 +19,8 @@
 const (
 	// maxPending is the default of Server.MaxPending.
 	maxPending = 32
-	// writeTimeout limits the time to write a response, so that a client that does not read cannot keep the connection open.
+	// writeTimeout limits the time to write a response, so that a client that does not read cannot keep the connection open. A response
+	// gets more time while the client reads it.
 	writeTimeout = 20 * time.Second
 	// lastRequestTime is how long an idle connection waits for a request that its client sent just before a shutdown.
 	lastRequestTime = 100 * time.Millisecond
@@ -38,7 +39,11 @@
 	cancel  context.CancelFunc
 	reader  *bufio.Reader
 	limit   headerLimitReader
-	writer  *bufio.Writer // used only by the exchange whose response is due
+	// The exchange whose response is due uses writer, writeUntil (when the response must be written, without what the client has read) and
+	// written (the bytes of the response that the client has taken).
+	writer     *bufio.Writer
+	writeUntil time.Time
+	written    int64
 
 	mu        sync.Mutex
 	accepting bool          // further requests are accepted
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -125,9 +125,7 @@
 }
 
 func (x *exchange) writeHeader() error {
-	if err := x.conn.netConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
+	x.conn.writeUntil, x.conn.written = time.Now().Add(writeTimeout), 0
 	closeRequested := x.header.Get("Connection") == "close"
 	x.header.Del("Connection")
 	x.closeAfter = x.conn.closesAfter(x, closeRequested)
