edge: do not read large bodies of refused requests

What callers saw: a request with a large body to a route that does not exist, without a valid key or above max-body-bytes gets its refusal only after the whole body has arrived. Its body takes the memory of others meanwhile, and a client that stops just short of the end is never refused.

Cause: the server read every body up to 64 MiB before the gateway saw the request. The limit of the configuration was applied afterwards.

The gateway now names the limit of a body when the header was read. A request that it refuses in any case goes to the handler without its body, gets the usual refusal at once, and the connection is closed after it. A handler that does not refuse it, since the configuration has changed meanwhile, gets an error for the body, so that nothing runs without it.

--- a/internal/entrynode/limits_test.go
+++ b/internal/entrynode/limits_test.go
@@ -67,3 +67,49 @@
 		})
 	}
 }
+
+// Guards against large bodies that are read into memory although the request is refused whatever they are.
+func TestBodiesOfRefusedRequestsAreNotRead(t *testing.T) {
+	const limit = 1 << 20 // bytes, without limits in the configuration
+	n, _ := startNode(t, time.Second)
+	u := startUpstream(t, 0)
+	u.serve(t, n, 20*time.Second)
+	length := "Content-Length: 2000000\r\n\r\n"
+	for description, test := range map[string]struct {
+		request string
+		status  int
+	}{
+		"no route":                  {"POST /other HTTP/1.1\r\nHost: h\r\n" + length, http.StatusNotFound},
+		"no route, in chunks":       {"POST /other HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", http.StatusNotFound},
+		"length over the limit":     {"POST /idempotent/x HTTP/1.1\r\nHost: h\r\n" + length, http.StatusRequestEntityTooLarge},
+		"expectation of 100":        {"POST /idempotent/x HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n" + length, http.StatusRequestEntityTooLarge},
+		"in chunks, over the limit": {"POST /idempotent/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n100001\r\n" + strings.Repeat("v", limit+1), http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(description, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", n.settings.Load().EntryAddress)
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(readTimeout / 2))) // before the rest of the body would time out
+			_, err = io.WriteString(c, test.request)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, test.status)
+			is.True(resp.Close)
+		})
+	}
+	// Small bodies are read, and the connection stays open.
+	is := is.New(t)
+	c, err := net.Dial("tcp", n.settings.Load().EntryAddress)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nsmall")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.True(!resp.Close)
+}
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -195,7 +195,7 @@
 func (n *Node) entryServer() *pipeline.Server {
 	return &pipeline.Server{
 		Handler: n.gateway, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
-		MaxHeaderLines: maxHeaderLines, MaxBodyBytes: maxBodyBytes, MaxBufferedBytes: n.settings.Load().clientMemory(),
+		MaxHeaderLines: maxHeaderLines, MaxBodyBytes: maxBodyBytes, BodyLimit: n.gateway.BodyLimit, MaxBufferedBytes: n.settings.Load().clientMemory(),
 		MaxConnections: n.settings.Load().files(entryFileShare), Budget: n.budget, Bodies: &n.bodies, RefusalBody: refusalBody,
 		OnRefused: n.countRefusal, OnDisplaced: n.logDisplaced,
 		OnBodyRefused: func(r *http.Request) {
--- a/internal/pipeline/body.go
+++ b/internal/pipeline/body.go
@@ -38,13 +38,14 @@
 // bodyReader reads one body into memory within the limits of a server.
 type bodyReader struct {
 	conn     *conn
+	limit    int64 // of the body, in bytes
 	reserved int64
 }
 
 // reserve makes room for the part of the body that is known to come. It must be called before the body is requested.
 func (b *bodyReader) reserve(length int64) error {
-	if length > b.conn.server.MaxBodyBytes {
-		return &http.MaxBytesError{Limit: b.conn.server.MaxBodyBytes}
+	if length > b.limit {
+		return &http.MaxBytesError{Limit: b.limit}
 	}
 	return b.grow(bodybuffer.Cost(max(length, 0)))
 }
@@ -92,7 +93,7 @@
 	if length >= 0 {
 		body, err = bodybuffer.ReadLength(from, length, s.Bodies)
 	} else {
-		body, err = bodybuffer.ReadAll(from, s.MaxBodyBytes, b.grow, s.Bodies)
+		body, err = bodybuffer.ReadAll(from, b.limit, b.grow, s.Bodies)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/pipeline/body_test.go
+++ b/internal/pipeline/body_test.go
@@ -27,6 +27,7 @@
 		client.Close()
 		c := newConn(s, raw)
 		is.True(c.open())
+		c.body.limit = s.MaxBodyBytes
 		return &c.body
 	}
 	for range 3 {
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -149,6 +149,10 @@
 	if r.ContentLength == 0 {
 		return r, nil
 	}
+	if c.body.limit = s.bodyLimit(r); c.body.limit < 0 {
+		r.Body, r.Close = unreadBody{}, true
+		return r, nil
+	}
 	return r, c.readBody(r, turn)
 }
 
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -51,6 +51,10 @@
 	Bodies *bodybuffer.Pool
 	// MaxBodyBytes limits the size of a request body in bytes, which is read into memory before the handler runs.
 	MaxBodyBytes int64
+	// BodyLimit returns a limit below MaxBodyBytes for the body of a request, or a negative number if the handler refuses the request
+	// because of its header. Then the handler is called without the body, and the connection is closed after the response. Nil means
+	// MaxBodyBytes.
+	BodyLimit func(r *http.Request) int64
 	// MaxBufferedBytes limits the bodies of all requests in flight together, in bytes. A request whose body does not fit gets 503
 	// before the handler runs. Zero means no limit.
 	MaxBufferedBytes int64
