--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -43,8 +43,8 @@
 	// maxUpstreamPause limits the time for which an upstream can ask for a pause. It is longer than the recovery of any upstream
 	// should take; one that starts anew is used at once.
 	maxUpstreamPause = 10 * time.Minute
-	// readTimeout bounds the time for reading a request on the entry address, except for a body that keeps arriving. It is longer than the usual routing.Limits.HeaderTimeoutMillis, which is 3 s and is not
-	// applied.
+	// readTimeout bounds the time for reading a request on the entry address, except for a body that keeps arriving. It is
+	// longer than the usual routing.Limits.HeaderTimeoutMillis, which is 3 s and is not applied.
 	readTimeout = 10 * time.Second
 	// idleTimeout is how long an idle client connection is kept open. Clients may reuse a connection that was idle for
 	// 12 s.
--- a/internal/pipeline/body_progress.go
+++ b/internal/pipeline/body_progress.go
@@ -1,13 +1,22 @@
 package pipeline
 
-import "io"
+import (
+	"io"
+	"time"
+)
 
-// minBodyRate is the mean rate in bytes per second at which a body has to arrive that takes longer than Server.ReadTimeout. A link of 0.2
-// Mbit/s is faster.
-const minBodyRate = 16 << 10
+const (
+	// minRate is the mean rate in bytes per second at which a body has to arrive that takes longer than Server.ReadTimeout, and at which a
+	// client has to read a response that takes longer than writeTimeout. A link of 0.2 Mbit/s is faster.
+	minRate = 16 << 10
+	// progressStep is the number of bytes after which the deadline of a body is moved.
+	progressStep = 4 << 10
+)
 
-// progressStep is the number of bytes after which the deadline of a body is moved.
-const progressStep = 4 << 10
+// timeAtMinRate returns the time that some bytes take at minRate.
+func timeAtMinRate(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / minRate * float64(time.Second))
+}
 
 // bodyProgress moves the deadline of a request while its body arrives.
 type bodyProgress struct {
--- a/internal/pipeline/body_progress_test.go
+++ b/internal/pipeline/body_progress_test.go
@@ -21,8 +21,8 @@
 		pause    time.Duration // between two steps
 		complete bool
 	}{
-		"twice the least rate": {step * time.Second / (2 * minBodyRate), true},
-		"half of it":           {2 * step * time.Second / minBodyRate, false},
+		"twice the least rate": {step * time.Second / (2 * minRate), true},
+		"half of it":           {2 * step * time.Second / minRate, false},
 	} {
 		t.Run(description, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/pipeline/client_writer.go
+++ b/internal/pipeline/client_writer.go
@@ -8,12 +8,8 @@
 // responseUnread reports whether a response waits to be read by the client.
 func (c *conn) responseUnread() bool { return c.holder.WritingFor(time.Now()) > unreadAfter }
 
-const (
-	// minResponseRate is the mean rate in bytes per second at which a client has to read a response that takes longer than writeTimeout.
-	minResponseRate = 16 << 10
-	// writeStep is the number of bytes after which the deadline of a response is moved.
-	writeStep = 64 << 10
-)
+// writeStep is the number of bytes after which the deadline of a response is moved.
+const writeStep = 64 << 10
 
 // clientWriter writes to the client, and records while a write waits until the client reads. The deadline of a response moves while the
 // client reads it.
@@ -34,7 +30,7 @@
 
 func (w clientWriter) writeStep(p []byte) (int, error) {
 	c := w.conn
-	if err := c.netConn.SetWriteDeadline(c.writeUntil.Add(time.Duration(c.written) * time.Second / minResponseRate)); err != nil {
+	if err := c.netConn.SetWriteDeadline(c.writeUntil.Add(timeAtMinRate(c.written))); err != nil {
 		return 0, err
 	}
 	c.holder.WriteStarted(time.Now())
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -185,7 +185,7 @@
 	defer c.mu.Unlock()
 	if c.accepting {
 		// An error means that the connection is closed already.
-		_ = c.netConn.SetReadDeadline(c.readUntil.Add(time.Duration(length) * time.Second / minBodyRate))
+		_ = c.netConn.SetReadDeadline(c.readUntil.Add(timeAtMinRate(length)))
 	}
 }
 
--- a/internal/pipeline/slow_client_test.go
+++ b/internal/pipeline/slow_client_test.go
@@ -19,8 +19,8 @@
 		pause    time.Duration // between two reads
 		complete bool
 	}{
-		"twice the least rate": {step * time.Second / (2 * minResponseRate), true},
-		"half of it":           {2 * step * time.Second / minResponseRate, false},
+		"twice the least rate": {step * time.Second / (2 * minRate), true},
+		"half of it":           {2 * step * time.Second / minRate, false},
 	} {
 		t.Run(description, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
