--- a/internal/entrynode/decoding.go
+++ b/internal/entrynode/decoding.go
@@ -16,13 +16,16 @@
 // decodeWait is how long a large body waits until it is decoded. Callers try another VM after a second without a response.
 const decodeWait = 900 * time.Millisecond
 
-// ErrNoMemory means that a body cannot be decoded for lack of memory now. The caller may try again, or another VM.
-var ErrNoMemory = errors.New("the clients hold all memory that they may use")
+// Errors of bodies that cannot be decoded now. The caller may try again, or another VM.
+var (
+	ErrNoMemory     = errors.New("the clients hold all memory that they may use")
+	ErrDecodingBusy = errors.New("other bodies took too long to be decoded")
+)
 
 // DecodeBody calls decode with the JSON body of a request to the API, of at most limit bytes. What the body is decoded to is charged to
 // the budget of clients until the handler returns, since short values take many times the memory of their text. Bodies are decoded
-// one after the other, because decoding also leaves garbage. The error is ErrNoMemory, *http.MaxBytesError, an error of reading or
-// that of decode.
+// one after the other, because decoding also leaves garbage. The error is ErrNoMemory, ErrDecodingBusy,
+// *http.MaxBytesError, an error of reading or that of decode.
 func (n *Node) DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, decode func(data []byte) error) error {
 	ctx, cancel := context.WithTimeout(r.Context(), decodeWait)
 	defer cancel()
@@ -30,7 +33,7 @@
 	case n.decoding <- struct{}{}:
 		defer func() { <-n.decoding }()
 	case <-ctx.Done():
-		return ErrNoMemory
+		return ErrDecodingBusy
 	}
 	held, ok := r.Body.(interface{ Body() *bodybuffer.Body })
 	if !ok { // without a body
