Clients that do not read downloads give up connections to upstreams

Callers saw 503 (1010, 1012) for as long as a few dozen clients read downloads slowly and sent again.

Cause: a response that is forwarded while it arrives keeps its connection to the upstream until the client has read it, and nothing made room when all connections to the upstream (max-connections) or to all upstreams were held this way. Since responses may take longer than 20 s while they are read at 16 KiB/s, one could be held for more than an hour.

Evidence: TestDownloadsThatAreReadSlowly, 32 clients that read 32 KiB/s, 8 connections.

A request that finds no free connection displaces the client that has not read its response for longest, by the rule that the budget has for memory (0.5 s), and waits until that connection is free. Clients that read are not displaced, so calm downloads are not affected: TestUnreadResponseGivesItsConnectionUp, TestEvictSlow.

Open: a health request that finds no connection counts as if the upstream were unreachable.

--- a/internal/clientbudget/budget_test.go
+++ b/internal/clientbudget/budget_test.go
@@ -155,3 +155,20 @@
 	ok, _ := open(t, g, 10*kib, Reading, start).Charge(30*kib, start)
 	is.True(ok)
 }
+
+// Guards against connections that are closed although their clients read, and against one that is closed twice.
+func TestEvictSlow(t *testing.T) {
+	is := is.New(t)
+	g := New(100*kib).NewGroup(1, 1)
+	h := open(t, g, kib, Running, start)
+	now := start.Add(2 * slowAfter)
+	is.True(!h.EvictSlow(now)) // its request runs
+	h.WriteStarted(now)
+	is.True(!h.EvictSlow(now.Add(slowAfter)))
+	now = now.Add(slowAfter + time.Millisecond)
+	is.True(h.EvictSlow(now))
+	is.True(!h.EvictSlow(now))
+	other := open(t, g, kib, Idle, now) // the only one that the port may have
+	other.Close()
+	is.True(!other.EvictSlow(now))
+}
--- a/internal/clientbudget/holder.go
+++ b/internal/clientbudget/holder.go
@@ -91,6 +91,19 @@
 	return evicted
 }
 
+// EvictSlow selects the connection to be closed if it is slow, for a resource that the budget does not charge. It returns false if it
+// is not, or was selected or closed before. The caller closes it.
+func (h *Holder) EvictSlow(now time.Time) bool {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.evicted || h.closed || h.rank(now) != slow {
+		return false
+	}
+	b.evict(h)
+	return true
+}
+
 // Refuse counts a request that was refused for lack of room.
 func (h *Holder) Refuse() {
 	h.budget.mu.Lock()
--- a/internal/edge/gateway.go
+++ b/internal/edge/gateway.go
@@ -29,6 +29,7 @@
 	crashes              *crashes
 	limits               *limitReports
 	quotas               *quotas
+	unbuffered           *unbufferedResponses
 	// logBudget limits the log lines of requests that succeeded at the first attempt.
 	logBudget asynclog.Budget
 
@@ -56,7 +57,7 @@
 	failures := newFailureReports()
 	return &Gateway{
 		cfg: cfg, configured: make(chan struct{}), finished: make(chan struct{}), services: make(map[string]*service), pacer: newPacer(cfg.LinkBitsPerSecond),
-		failures: failures, crashes: newCrashes(cfg, failures), limits: newLimitReports(), quotas: newQuotas(cfg),
+		failures: failures, crashes: newCrashes(cfg, failures), limits: newLimitReports(), quotas: newQuotas(cfg), unbuffered: newUnbufferedResponses(),
 		coldOwners: placement.NewOwners(), limitSenders: placement.NewSenders(), zoneGateways: placement.NewSenders(),
 	}
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -42,6 +42,9 @@
 		c.refuse(c.withReturnTime(f))
 		return
 	}
+	if !a.fullyBuffered {
+		defer c.g.unbuffered.add(c.w, a.candidate.Address)()
+	}
 	defer a.discard()
 	c.forward(a)
 }
--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -100,7 +100,11 @@
 func (s *service) requestHealthOn(
 	ctx context.Context, pool *upstreamconn.Pool, c balancing.Candidate, path string, forceNew bool,
 ) (resp *http.Response, reused bool, err error) {
-	conn, err := pool.Connect(ctx, forceNew)
+	maxIdle := pool.IdleLimit()
+	if forceNew {
+		maxIdle = 0
+	}
+	conn, err := s.connect(ctx, pool, c.Address, maxIdle, "")
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/edge/reuse.go
+++ b/internal/edge/reuse.go
@@ -20,7 +20,7 @@
 // connect returns a connection for the attempt. A request that may run only once needs one that has just been used.
 func (a *attempt) connect(pool *upstreamconn.Pool) (*upstreamconn.Conn, error) {
 	if a.call.repeatable() {
-		return pool.ConnectWithin(a.ctx, pool.IdleLimit(), a.call.id)
+		return a.call.service.connect(a.ctx, pool, a.candidate.Address, pool.IdleLimit(), a.call.id)
 	}
 	if a.call.g.cfg.ReuseConnections {
 		if conn := pool.Reuse(assumedOpenFor, a.call.id); conn != nil {
@@ -28,7 +28,7 @@
 		}
 		a.verifyIdle(pool)
 	}
-	return pool.ConnectWithin(a.ctx, assumedOpenFor, a.call.id)
+	return a.call.service.connect(a.ctx, pool, a.candidate.Address, assumedOpenFor, a.call.id)
 }
 
 // verifyIdle requests the health of the upstream on a connection that has been idle for longer than assumedOpenFor, if there is
--- a/internal/edge/service.go
+++ b/internal/edge/service.go
@@ -23,6 +23,7 @@
 	failures   *failureReports
 	crashes    *crashes
 	limits     *limitReports
+	unbuffered *unbufferedResponses
 	metrics    *serviceMetrics
 	budget     *retrybudget.Window
 	mu         sync.Mutex
@@ -45,7 +46,7 @@
 func newService(g *Gateway, name string) *service {
 	cfg := g.cfg
 	s := &service{
-		cfg: cfg, name: name, pacer: g.pacer, failures: g.failures, crashes: g.crashes, limits: g.limits,
+		cfg: cfg, name: name, pacer: g.pacer, failures: g.failures, crashes: g.crashes, limits: g.limits, unbuffered: g.unbuffered,
 		metrics: cfg.Metrics.service(name), balancer: balancing.New(), pools: make(map[string]*upstreamconn.Pool), watched: make(map[string]bool),
 		budget: retrybudget.NewWindow(cfg.RetryWindow, cfg.RetryRatio*retryMargin, 0),
 	}
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -52,6 +52,18 @@
 	return true
 }
 
+// UnreadFor returns how long a response on the connection has been waiting to be read by the client.
+func (x *exchange) UnreadFor(now time.Time) time.Duration { return x.conn.holder.WritingFor(now) }
+
+// Displace closes the connection if its client is slow, to make room for others, and reports whether it did.
+func (x *exchange) Displace(now time.Time) bool {
+	displaced := x.conn.holder.EvictSlow(now)
+	if displaced {
+		x.conn.holder.CloseConn()
+	}
+	return displaced
+}
+
 // releaseAll returns everything that is charged for the request.
 func (x *exchange) releaseAll() {
 	x.mu.Lock()
--- a/internal/upstreamconn/errors.go
+++ b/internal/upstreamconn/errors.go
@@ -6,14 +6,13 @@
 	"github.com/pkg/errors"
 )
 
-// errLimiter is the cause of ErrMaxConnections if a Limiter is the reason.
-var errLimiter = errors.New("connection limit of all upstreams reached")
-
 // Errors of Connect and Exchange, for use with errors.Is. Outcome.BytesWritten tells whether the request may have been
 // executed.
 var (
 	// ErrMaxConnections means that all allowed connections are open and none is idle. Nothing was sent.
 	ErrMaxConnections = errors.New("connection limit of the upstream reached")
+	// ErrLimiter is an ErrMaxConnections whose reason is the Limiter of several pools.
+	ErrLimiter = errors.New("connection limit of all upstreams reached")
 	// ErrDial means that no connection could be opened. Nothing was sent.
 	ErrDial = errors.New("connection to the upstream could not be opened")
 	// ErrPoolClosed means that the pool is closed. Nothing was sent.
@@ -46,7 +45,7 @@
 type exchangeError struct {
 	kind    error
 	cause   error
-	context error // context.Canceled, context.DeadlineExceeded, syscall.ECONNREFUSED, errLimiter or nil
+	context error // context.Canceled, context.DeadlineExceeded, syscall.ECONNREFUSED, ErrLimiter or nil
 }
 
 // dialError returns the error of a connection that could not be opened. A refused one shows that no process listens at
--- a/internal/upstreamconn/limits_test.go
+++ b/internal/upstreamconn/limits_test.go
@@ -96,6 +96,7 @@
 	first, second := connect(a), connect(a)
 	_, err := b.Connect(t.Context(), true)
 	is.True(errors.Is(err, ErrMaxConnections))
+	is.True(errors.Is(err, ErrLimiter))
 	first.Release()
 	third := connect(b) // closes the idle one
 	is.Equal(limiter.Open(), 2)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -69,7 +69,7 @@
 // a second response to the first attempt could be taken for that to the second. It may be empty.
 func (p *Pool) ConnectWithin(ctx context.Context, maxIdle time.Duration, requestID string) (*Conn, error) {
 	t, reason, err := p.acquire(maxIdle, requestID)
-	if errors.Is(err, errLimiter) && p.opts.Limiter.closeIdle() {
+	if errors.Is(err, ErrLimiter) && p.opts.Limiter.closeIdle() {
 		t, reason, err = p.acquire(maxIdle, requestID)
 	}
 	if err != nil {
@@ -104,7 +104,7 @@
 		return nil, NotNew, newError(ErrMaxConnections, nil)
 	}
 	if !p.opts.Limiter.acquire() {
-		return nil, NotNew, &exchangeError{kind: ErrMaxConnections, cause: errLimiter, context: errLimiter}
+		return nil, NotNew, &exchangeError{kind: ErrMaxConnections, cause: ErrLimiter, context: ErrLimiter}
 	}
 	p.open++
 	return nil, reason, nil
