A request whose body was not read is retried if the configuration changed

Callers with a large body saw 400 (malformed_request), which tells them to change their request, when a configuration that takes it arrived between the decision not to read the body and the handling of the request. Cause: the handler took the missing body for one that the client broke off. Evidence: read in the code; TestBodyThatALaterConfigurationTakes gets 400 without the change. Result: the test passes.

--- a/internal/edge/failure.go
+++ b/internal/edge/failure.go
@@ -34,6 +34,7 @@
 	overQuota          = failure{code: resultcode.QuotaExceeded, message: "the account has used its rate and burst", retry: true}
 	upstreamRefused    = failure{code: resultcode.UpstreamRefused, message: "the upstream did not start the request", retry: true}
 	noConfiguration    = failure{code: resultcode.ControlUnavailable, message: "no configuration is known yet", retry: true}
+	configChanged      = failure{code: resultcode.ControlUnavailable, message: "the configuration changed while the request arrived", retry: true}
 	unknownKey         = failure{code: resultcode.UnknownKey, message: "the request has no key of an account"}
 	unknownRoute       = failure{code: resultcode.UnknownRoute, message: "no route matches the host and path"}
 	bodyTooLarge       = failure{code: resultcode.RequestTooLarge, message: "the request body exceeds the limit"}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/balancing"
@@ -17,6 +18,7 @@
 	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/hopheader"
+	"github.com/bramleypick/bramleypick/internal/pipeline"
 	"github.com/bramleypick/bramleypick/resultcode"
 )
 
@@ -145,6 +147,8 @@
 	defer c.g.bufferedRequestBytes.Add(-reserved)
 	data, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
 	switch {
+	case errors.Is(err, pipeline.ErrBodyNotRead): // by the decision of BodyLimit, which a later configuration does not share
+		return &configChanged
 	case err != nil:
 		return &malformedBody
 	case int64(len(data)) > limit:
--- a/internal/pipeline/unread_body.go
+++ b/internal/pipeline/unread_body.go
@@ -8,13 +8,14 @@
 	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 )
 
-var errBodyNotRead = errors.New("the body of a refused request is not read")
+// ErrBodyNotRead is the error of reading a body that was not read because BodyLimit named the request as one that is refused.
+var ErrBodyNotRead = errors.New("the body of a refused request is not read")
 
 // unreadBody is the body of a request that is refused because of its header. A handler that does not refuse it gets an error.
 type unreadBody struct{}
 
 // Read implements io.Reader.
-func (unreadBody) Read([]byte) (int, error) { return 0, errBodyNotRead }
+func (unreadBody) Read([]byte) (int, error) { return 0, ErrBodyNotRead }
 
 // Close implements io.Closer.
 func (unreadBody) Close() error { return nil }
