A health request without a connection says nothing about the upstream

Callers saw 503 (1010, no upstream) for up to 2 s after connections had become free.

Cause: a health request that found all connections to the upstream in use was recorded like one without a response, so that the upstream counted as unreachable for 0.25 to 2 s, doubling.

Evidence: TestHealthRequestWithoutAConnection gets 503 without the change.

The probe records nothing then, since the limit is the gateway's own. The request finds out by itself whether there is a connection.

--- a/internal/edge/probe.go
+++ b/internal/edge/probe.go
@@ -48,6 +48,9 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if errors.Is(err, upstreamconn.ErrMaxConnections) {
+		return // says nothing about the upstream
+	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != context.Canceled {
 			s.balancer.RecordUnreachable(c.ID, now)
--- a/internal/edge/unread_test.go
+++ b/internal/edge/unread_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/bramleypick/bramleypick/balancing"
 	"github.com/bramleypick/bramleypick/internal/upstreamconn"
 )
 
@@ -46,6 +47,25 @@
 	g.ServeHTTP(c, r)
 }
 
+// gatewayWithDownloads returns a gateway with one upstream, whose response to /download/1 is not buffered.
+func gatewayWithDownloads(maxConnections int, limiter *upstreamconn.Limiter) *Gateway {
+	network := newMemoryNetwork()
+	u := &fakeUpstream{id: "a", respond: func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/download/1" {
+			w.Write(make([]byte, 2*maxBufferedResponse))
+			return
+		}
+		succeed(w, r)
+	}}
+	state := clusterState(network.add("a", serveHTTP(u)))
+	state.View.Config.Services[0].MaxConnections = maxConnections
+	cfg := testConfig(0, zap.NewNop())
+	cfg.Dial, cfg.Connections = network.dial, limiter
+	g := New(cfg)
+	g.Update(state, time.Now())
+	return g
+}
+
 // Guards against responses that clients do not read and that keep the connections to upstreams from other requests, and against
 // closing the connections of clients that read.
 func TestUnreadResponseGivesItsConnectionUp(t *testing.T) {
@@ -64,20 +84,7 @@
 		t.Run(test.description, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				network := newMemoryNetwork()
-				u := &fakeUpstream{id: "a", respond: func(w http.ResponseWriter, r *http.Request) {
-					if r.URL.Path == "/download/1" {
-						w.Write(make([]byte, 2*maxBufferedResponse))
-						return
-					}
-					succeed(w, r)
-				}}
-				state := clusterState(network.add("a", serveHTTP(u)))
-				state.View.Config.Services[0].MaxConnections = test.maxConnections
-				cfg := testConfig(0, zap.NewNop())
-				cfg.Dial, cfg.Connections = network.dial, test.limiter
-				g := New(cfg)
-				g.Update(state, time.Now())
+				g := gatewayWithDownloads(test.maxConnections, test.limiter)
 				defer g.closeConnections()
 				var clients []*stalledClient
 				for _, unread := range test.unread {
@@ -100,3 +107,21 @@
 		})
 	}
 }
+
+// Guards against an upstream that gets no requests because the gateway had no connection for a health request.
+func TestHealthRequestWithoutAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := gatewayWithDownloads(1, nil)
+		defer g.closeConnections()
+		client := &stalledClient{httptest.NewRecorder(), 0, make(chan struct{})}
+		go client.download(g)
+		synctest.Wait()
+		g.services["s"].probe(t.Context(), balancing.Candidate{ID: "a", Address: "a:80", Zone: "z"})
+		close(client.closed)
+		synctest.Wait()
+		started := time.Now()
+		is.Equal(send(t, g, "/idempotent/1", nil).Code, http.StatusOK)
+		is.Equal(time.Since(started), time.Duration(0))
+	})
+}
