Calls share the encoded view

A process that sends calls for the view to the peer port and reads nothing could end this one: 519,312 KiB held on a VM of 64 MB.

Cause: each call to read encoded and compressed the view of 2,000 routes itself, hundreds at a time, and a compressor alone takes a megabyte. Calls for the whole view shared the compressed view, but encoded a reply of their own.

CPU profiles were not taken.

The newest view is encoded once, and calls at the same time wait for that and share the bytes (sharedBytes, which the history uses too). TestCallsShareTheEncodedView guards it.

--- a/internal/cluster/handler.go
+++ b/internal/cluster/handler.go
@@ -259,11 +259,7 @@
 		if err := decode(body, &request); err != nil {
 			return nil, err
 		}
-		reply, err := r.history.reply(request, r.machine.View())
-		if err != nil {
-			return nil, err
-		}
-		return encode(reply)
+		return r.history.encodedReply(request, r.machine.View())
 	}
 	return nil, errors.Errorf("unknown method %d", m)
 }
--- a/internal/cluster/history.go
+++ b/internal/cluster/history.go
@@ -42,12 +42,12 @@
 // history holds the latest changes of a replica's state, so that the replica need not send the whole view to every
 // process after each change: uncompressed, a view with 1,400 routes takes half a second on a link of 6 Mbit/s.
 type history struct {
-	mu              sync.Mutex
-	base            uint64 // index of the view before the first change
-	changes         []change
-	bytes           int
-	compressedView  []byte // the newest view, encoded and compressed; nil until it is requested
-	compressedIndex uint64
+	mu             sync.Mutex
+	base           uint64 // index of the view before the first change
+	changes        []change
+	bytes          int
+	compressedView sharedBytes // the newest view without sources, compressed
+	wholeReply     sharedBytes // the encoded reply with it
 	// compressedChanges are the changes after the view at index compressedFrom, encoded and compressed, as they were last
 	// requested. Most processes request the same ones. It is nil if there are none.
 	compressedChanges []byte
@@ -75,6 +75,18 @@
 	return nil
 }
 
+// encodedReply returns what the requesting process needs to reach view, encoded.
+func (h *history) encodedReply(request viewRequest, view *routingstate.View) ([]byte, error) {
+	reply, err := h.reply(request, view)
+	if err != nil {
+		return nil, err
+	}
+	if reply.View == nil {
+		return encode(reply)
+	}
+	return h.wholeReply.of(view.Index, func() ([]byte, error) { return encode(reply) })
+}
+
 // reply returns what the requesting process needs to reach view.
 func (h *history) reply(request viewRequest, view *routingstate.View) (viewReply, error) {
 	h.mu.Lock()
@@ -82,17 +94,8 @@
 	if changes, ok := h.changesAfter(request.Have, view); ok {
 		return h.changesReply(request, changes)
 	}
-	if h.compressedView == nil || h.compressedIndex != view.Index {
-		data, err := view.WithoutSources().Encode()
-		if err != nil {
-			return viewReply{}, err
-		}
-		if h.compressedView, err = compress(data); err != nil {
-			return viewReply{}, err
-		}
-		h.compressedIndex = view.Index
-	}
-	return viewReply{View: h.compressedView}, nil
+	data, err := h.compressedView.of(view.Index, func() ([]byte, error) { return compressView(view.WithoutSources()) })
+	return viewReply{View: data}, err
 }
 
 // changesAfter returns the changes from the view at index have to view, if all of them are kept. The caller holds mu.
--- a/internal/cluster/history_test.go
+++ b/internal/cluster/history_test.go
@@ -123,3 +123,28 @@
 	t.Logf("%d bytes", len(data))
 	is.True(float64(len(data)*8)/freeBitsPerSecond <= fetchTimeout.Seconds())
 }
+
+// Guards against a copy of the view for each call, which takes more memory than a small VM has.
+func TestCallsShareTheEncodedView(t *testing.T) {
+	is := is.New(t)
+	m := &observedMachine{Machine: routingstate.New(), history: &history{}, onChange: func(*routingstate.View) {}}
+	put := func(version uint64) []byte {
+		t.Helper()
+		data, err := routingstate.Command{Put: &routing.Config{Version: version, Services: []routing.Service{{Name: "s"}}}}.Encode()
+		is.NoErr(err)
+		m.Apply(version, data)
+		reply, err := m.history.encodedReply(viewRequest{}, m.View())
+		is.NoErr(err)
+		again, err := m.history.encodedReply(viewRequest{}, m.View())
+		is.NoErr(err)
+		is.True(&reply[0] == &again[0])
+		return reply
+	}
+	for version := range uint64(2) {
+		var reply viewReply
+		is.NoErr(decode(put(version+1), &reply))
+		got, err := reply.apply(&routingstate.View{})
+		is.NoErr(err)
+		is.Equal(got.Index, m.View().Index)
+	}
+}
--- a/internal/cluster/read.go
+++ b/internal/cluster/read.go
@@ -77,17 +77,22 @@
 	}
 	startedAt := time.Now()
 	view := r.machine.View()
-	data, err := view.Encode()
+	data, err := r.compressed.of(view.Index, func() ([]byte, error) { return compressView(view) })
 	if err != nil {
 		return nil, err
 	}
-	if data, err = compress(data); err != nil {
-		return nil, err
-	}
 	c.log.Info("view read", zap.Uint64("index", view.Index), zap.Int("bytes", len(data)), zap.Float64("ms", milliseconds(startedAt)))
 	return data, nil
 }
 
+func compressView(view *routingstate.View) ([]byte, error) {
+	data, err := view.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return compress(data)
+}
+
 // confirmLeadership returns once a majority has confirmed that this process's replica is the leader, and everything
 // committed before the call has been applied.
 func (c *Cluster) confirmLeadership(ctx context.Context, r *replica) error {
--- a/internal/cluster/replica.go
+++ b/internal/cluster/replica.go
@@ -30,6 +30,8 @@
 	node    *controlnode.Node
 	machine *routingstate.Machine
 	history *history
+	// compressed is the newest view with its sources.
+	compressed sharedBytes
 }
 
 // observedMachine calls onChange after each command that changed the view and after each restored snapshot. It records
