Bound what links hold for processes that do not read replies

A process that calls over a link and does not read the replies made this one hold a copy of each: 116,152 and 132,848 KiB in two runs on a VM of 64 MB with calls for the view, from 20 connections.

Cause: the send queue of a link is limited in frames (512), and calls that are served in number for each link (256), neither in bytes nor for all links together.

A reply is copied into the send queue only while that holds at most 16 KiB, so that the others wait as shared bytes; a link has at most eight large replies, and all links as many calls as fit the memory for frames at 8 KiB each. Updates do not wait, and a process that reads gets its replies in the same order of time as before, since they would wait in the queue: TestRepliesThatAreNotRead.

Open: views above 64 KiB on hundreds of links, and requests for changes that differ from call to call.

--- a/internal/nodelink/accepted.go
+++ b/internal/nodelink/accepted.go
@@ -5,10 +5,15 @@
 	"sync/atomic"
 )
 
+// callBytes is the memory in bytes that a call takes until its reply is written: its frame, the stack of its goroutine and a reply of
+// smallReply.
+const callBytes = 8 << 10
+
 // acceptedLinks keeps the limits of the links that other processes opened.
 type acceptedLinks struct {
 	limits     Limits
 	frameBytes atomic.Int64 // of frames that are being read
+	calls      atomic.Int64 // that are being served or whose reply is not written
 
 	mu    sync.Mutex
 	count int
@@ -76,6 +81,24 @@
 	return true
 }
 
+// beginCall reports whether another call may be served.
+func (a *acceptedLinks) beginCall() bool {
+	if a == nil || a.limits.FrameBytes <= 0 {
+		return true
+	}
+	if a.calls.Add(1) > a.limits.FrameBytes/callBytes {
+		a.calls.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (a *acceptedLinks) endCall() {
+	if a != nil && a.limits.FrameBytes > 0 {
+		a.calls.Add(-1)
+	}
+}
+
 func (a *acceptedLinks) release(n int64) {
 	if a != nil {
 		a.frameBytes.Add(-n)
--- a/internal/nodelink/limits_test.go
+++ b/internal/nodelink/limits_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 
 	"github.com/matryer/is"
 )
@@ -97,3 +98,43 @@
 	cancel()
 	is.NoErr(<-served)
 }
+
+// Guards against replies and calls that a process holds without a limit for one that does not read, and against replies that are lost
+// once it reads again.
+func TestRepliesThatAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const replies, size, calls = 40, 40 << 10, 3
+		conn, other := net.Pipe()
+		l := newLink(conn, "", false, newRecorder(echo))
+		l.accepted = newAcceptedLinks(Limits{FrameBytes: calls * callBytes})
+		go l.writeLoop()
+		for id := range uint64(replies) {
+			go l.reply(frame{Kind: frameReply, CallID: id, Body: make([]byte, size)})
+			synctest.Wait()
+		}
+		is.True(l.queued.Load() <= shortQueue+2*size)
+		whole := 0
+		for range replies {
+			f, err := readFrame(other)
+			is.NoErr(err)
+			if len(f.Body) == size {
+				whole++
+			} else {
+				is.Equal(f.Error, tooManyCalls)
+			}
+		}
+		is.Equal(whole, maxLargeReplies)
+		synctest.Wait()
+		is.Equal(l.queued.Load(), int64(0))
+		is.Equal(l.largeReplies.Load(), int64(0))
+		for range calls {
+			is.True(l.accepted.beginCall())
+		}
+		is.True(!l.accepted.beginCall())
+		l.accepted.endCall()
+		is.True(l.accepted.beginCall())
+		l.Close()
+		other.Close()
+	})
+}
--- a/internal/nodelink/link.go
+++ b/internal/nodelink/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,10 +20,19 @@
 	IdleTimeout = 1500 * time.Millisecond
 	// sendQueueLength bounds the frames that wait to be written. A link whose queue is full is closed.
 	sendQueueLength = 512
+	// shortQueue is the number of bytes in the send queue above which replies wait. Other frames do not.
+	shortQueue = 16 << 10
+	// smallReply is the length in bytes up to which replies are not counted as large. Acknowledgments are shorter.
+	smallReply = 1 << 10
+	// maxLargeReplies bounds the large replies of a link that wait or are in the send queue. The callee holds them meanwhile.
+	maxLargeReplies = 8
 	// maxConcurrentCalls bounds the calls that one link serves concurrently.
 	maxConcurrentCalls = 256
 )
 
+// tooManyCalls is the error in the reply to a call beyond a limit.
+const tooManyCalls = "too many calls"
+
 var (
 	// ErrClosed is returned by calls that were pending when the link closed. It is unknown whether the callee handled them.
 	ErrClosed = errors.New("link is closed")
@@ -51,6 +61,8 @@
 	conn      net.Conn
 	handler   Handler
 	sendQueue chan []byte
+	queued    atomic.Int64  // bytes in sendQueue and of the frame that is being written
+	written   chan struct{} // signals that a frame was written
 	done      chan struct{}
 	closeOnce sync.Once
 	closeErr  error
@@ -59,6 +71,8 @@
 	lastCallID   uint64
 	pendingCalls map[uint64]chan frame
 	callSlots    chan struct{}
+	replying     chan struct{}  // held by the call whose reply is in the queue
+	largeReplies atomic.Int64   // that wait or are in the queue
 	accepted     *acceptedLinks // nil if this process opened the link
 	opened       bool           // used only by the goroutine of run
 	identified   bool           // the other process has sent a frame; guarded by accepted.mu
@@ -67,7 +81,8 @@
 func newLink(conn net.Conn, remote string, dialed bool, handler Handler) *Link {
 	return &Link{
 		Remote: remote, Dialed: dialed, conn: conn, handler: handler, sendQueue: make(chan []byte, sendQueueLength),
-		done: make(chan struct{}), pendingCalls: make(map[uint64]chan frame), callSlots: make(chan struct{}, maxConcurrentCalls),
+		written: make(chan struct{}, 1), replying: make(chan struct{}, 1), done: make(chan struct{}),
+		pendingCalls: make(map[uint64]chan frame), callSlots: make(chan struct{}, maxConcurrentCalls),
 	}
 }
 
@@ -120,9 +135,10 @@
 		idle.Reset(0) // the other process handles the link from the first frame on
 	}
 	for {
-		data := ping
+		data, queued := ping, 0
 		select {
 		case data = <-l.sendQueue:
+			queued = len(data)
 		case <-idle.C:
 			l.Traffic.countSent(&frame{Kind: framePing}, len(ping))
 		case <-l.done:
@@ -136,6 +152,11 @@
 			l.close(err)
 			return
 		}
+		l.queued.Add(-int64(queued))
+		select {
+		case l.written <- struct{}{}:
+		default:
+		}
 		idle.Reset(PingInterval)
 	}
 }
@@ -194,25 +215,67 @@
 
 // serveCall serves a call, for which some bytes are reserved.
 func (l *Link) serveCall(ctx context.Context, f frame, reserved int64) {
-	select {
-	case l.callSlots <- struct{}{}:
-	default:
+	if !l.beginCall() {
 		l.accepted.release(reserved)
-		l.enqueue(frame{Kind: frameReply, CallID: f.CallID, Error: "too many calls"})
+		l.enqueue(frame{Kind: frameReply, CallID: f.CallID, Error: tooManyCalls})
 		return
 	}
 	go func() {
-		defer func() { <-l.callSlots }()
+		defer l.endCall()
 		defer l.accepted.release(reserved)
 		body, err := l.handler.Serve(ctx, l, f.Method, f.Body)
 		reply := frame{Kind: frameReply, CallID: f.CallID, Body: body}
 		if err != nil {
 			reply.Error = err.Error()
 		}
-		l.enqueue(reply)
+		l.reply(reply)
 	}()
 }
 
+// beginCall reports whether another call may be served.
+func (l *Link) beginCall() bool {
+	if !l.accepted.beginCall() {
+		return false
+	}
+	select {
+	case l.callSlots <- struct{}{}:
+		return true
+	default:
+		l.accepted.endCall()
+		return false
+	}
+}
+
+func (l *Link) endCall() {
+	<-l.callSlots
+	l.accepted.endCall()
+}
+
+// reply queues the reply to a call and returns once the queue is short again. Further replies wait meanwhile, without the copy that is in
+// the queue.
+func (l *Link) reply(f frame) {
+	if len(f.Body) > smallReply {
+		defer l.largeReplies.Add(-1)
+		if l.largeReplies.Add(1) > maxLargeReplies {
+			f.Body, f.Error = nil, tooManyCalls
+		}
+	}
+	select {
+	case l.replying <- struct{}{}:
+		defer func() { <-l.replying }()
+	case <-l.done:
+		return
+	}
+	l.enqueue(f)
+	for l.queued.Load() > shortQueue {
+		select {
+		case <-l.written:
+		case <-l.done:
+			return
+		}
+	}
+}
+
 func (l *Link) deliverReply(f frame) {
 	l.mu.Lock()
 	replies := l.pendingCalls[f.CallID]
@@ -240,6 +303,7 @@
 		return false
 	default:
 	}
+	l.queued.Add(int64(len(data)))
 	select {
 	case l.sendQueue <- data:
 		l.Traffic.countSent(&f, len(data))
--- a/internal/nodelink/listen.go
+++ b/internal/nodelink/listen.go
@@ -19,7 +19,7 @@
 	// Links is the number of accepted links. Beyond it, a new link displaces the oldest one that has not sent a frame, or is closed.
 	Links int
 	// FrameBytes is the number of bytes that the frames being read may take together, on all accepted links. A link whose frame does
-	// not fit is closed.
+	// not fit is closed. The calls that are served at the same time may take as much.
 	FrameBytes int64
 }
 
