--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleypick/bramleypick/crashguard"
-	"github.com/bramleypick/bramleypick/internal/asynclog"
 	"github.com/bramleypick/bramleypick/internal/bodybuffer"
 	"github.com/bramleypick/bramleypick/internal/clientbudget"
 	"github.com/bramleypick/bramleypick/internal/cluster"
@@ -192,20 +190,6 @@
 	return cause
 }
 
-func (n *Node) entryServer() *pipeline.Server {
-	return &pipeline.Server{
-		Handler: n.gateway, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
-		MaxHeaderLines: maxHeaderLines, MaxBodyBytes: maxBodyBytes, BodyLimit: n.gateway.BodyLimit, MaxBufferedBytes: n.settings.Load().clientMemory(),
-		MaxConnections: n.settings.Load().files(entryFileShare), Budget: n.budget, Bodies: &n.bodies, RefusalBody: refusalBody,
-		OnRefused: n.countRefusal, OnDisplaced: n.logDisplaced,
-		OnBodyRefused: func(r *http.Request) {
-			n.log.Warn("refused, the bodies of the requests in flight take too much memory", zap.Int64("bytes", r.ContentLength),
-				zap.String("request", asynclog.Abbreviate(r.Header.Get(n.adapter.Protocol().RequestIDHeader))))
-		},
-		OnPanic: n.logPanic,
-	}
-}
-
 // shutdown removes this process from the directory, serves clients that still use it, and waits for requests in flight.
 func (n *Node) shutdown(ctx context.Context, entry *pipeline.Server) {
 	startedAt, grace := time.Now(), n.settings.Load().ShutdownGrace
@@ -299,24 +283,3 @@
 		n.cluster.SetState(roster.Serving)
 	}
 }
-
-// reload rereads the settings every second, because they may change without a signal. It applies them only if the seeds
-// changed.
-func (n *Node) reload(ctx context.Context) {
-	for {
-		select {
-		case <-time.After(maxRefreshInterval):
-		case <-ctx.Done():
-			return
-		}
-		s, err := n.adapter.Reload()
-		if err != nil {
-			n.log.Warn("failed to reload the settings", zap.Error(err))
-			continue
-		}
-		if old := n.settings.Load(); !slices.Equal(old.SeedPeers, s.SeedPeers) {
-			n.log.Info("seeds changed", zap.Strings("seeds", s.SeedPeers))
-			n.settings.Store(&s)
-		}
-	}
-}
