Limit the upstreams that are known

Clients of the control port could end all processes of a deployment within seconds, by announcing upstreams with ids of their own.

Cause: the registry had no limit, and its entries are sent to all processes and kept until they are deregistered.

Others are refused with 503 (1022). No entry is evicted, because a process does not receive all announcements and can't tell which upstreams work.

Open: a registry full of entries that nobody deregisters keeps new upstreams out.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -92,7 +92,7 @@
 		cfg.OnGrant = func(quota.Grant) {}
 	}
 	c := &Cluster{
-		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.New(), self: cfg.Self,
+		cfg: cfg, log: cfg.Log, nodes: roster.New(), registry: registry.NewWithin(cfg.MaxUpstreams), self: cfg.Self,
 		changed: make(chan struct{}, 1), publishSignal: make(chan struct{}, 1), viewFetches: make(chan *nodelink.Link, 16),
 		saveRequests: make(chan chan<- error, maxSaveRequests),
 		dialed:       make(map[string]*nodelink.Link), advertisedIndexes: make(map[*nodelink.Link]uint64),
--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -26,6 +26,8 @@
 	FS vfs.FS
 	// AllowBootstrap permits this process to create the control group, at the first start of the whole deployment.
 	AllowBootstrap bool
+	// MaxUpstreams limits the upstreams that are kept. Zero means no limit.
+	MaxUpstreams int
 	// UpstreamExpiry is how long the entry of an upstream is kept without a new announcement. Zero means forever.
 	UpstreamExpiry time.Duration
 	// OnFailures is called with the numbers of failed requests by upstream id that other processes reported. It must
--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -20,6 +20,9 @@
 // is unknown.
 var ErrControlUnavailable = errors.New("the control group was not reached")
 
+// ErrTooManyUpstreams is returned for the announcement of an upstream that is not known, if as many as may be are.
+var ErrTooManyUpstreams = errors.New("too many upstreams are known")
+
 // Submit appends a change to the log and returns its result once it is committed. After an error, the change may or may
 // not have taken effect.
 func (c *Cluster) Submit(ctx context.Context, command routingstate.Command) (routingstate.Result, error) {
@@ -178,6 +181,9 @@
 		return err
 	}
 	e = c.completeDeregistration(e)
+	if !c.registry.HasRoom(e.ID) {
+		return ErrTooManyUpstreams
+	}
 	if r := c.runningReplica(); r != nil {
 		return c.storeAnnouncement(ctx, r, e)
 	}
--- a/internal/entrynode/limits.go
+++ b/internal/entrynode/limits.go
@@ -30,6 +30,10 @@
 	minLinkMemory      = 32 << 20
 	maxLinkMemoryShare = 0.175
 
+	// upstreamMemoryShare is the share of the memory for the upstreams that are known, and upstreamBytes what one takes: its entry, its
+	// state in the gateway and a copy for a while when it changes.
+	upstreamMemoryShare, upstreamBytes = 0.1, 2 << 10
+
 	// apiLargeShare is the share of that memory that large requests to the API may use. It is above that of client requests, so that
 	// these do not keep out the operators' configurations.
 	apiLargeShare = 0.9
@@ -73,6 +77,10 @@
 	return max(minPortFiles, int(share*float64(s.MaxFiles-reservedFiles)))
 }
 
+func (s *Settings) maxUpstreams() int {
+	return int(upstreamMemoryShare*float64(cmp.Or(s.MemoryBytes, defaultMemory))) / upstreamBytes
+}
+
 func (s *Settings) linkLimits() nodelink.Limits {
 	limits := nodelink.Limits{Links: s.files(linkFileShare), FrameBytes: minLinkMemory}
 	if s.MemoryBytes > 0 {
--- a/internal/entrynode/node.go
+++ b/internal/entrynode/node.go
@@ -108,7 +108,7 @@
 			ClientAddress: s.EntryAddress, ControlAddress: s.ControlAddress, PeerAddress: s.PeerAddress,
 		},
 		Seeds:   func() []string { return append([]string(nil), n.settings.Load().SeedPeers...) },
-		DataDir: s.DataDir, AllowBootstrap: s.FirstStart, LinkLimits: s.linkLimits(), Log: log.Named("cluster"),
+		DataDir: s.DataDir, AllowBootstrap: s.FirstStart, LinkLimits: s.linkLimits(), MaxUpstreams: s.maxUpstreams(), Log: log.Named("cluster"),
 		OnFailures: func(counts map[string]int) { n.gateway.RecordReportedFailures(counts, time.Now()) },
 		OnLimits:   func(limits map[string]float64) { n.gateway.RecordReportedLimits(limits, time.Now()) },
 		QuotaBound: s.quotaBound(), OnGrant: func(grant quota.Grant) { n.gateway.ReceiveGrant(grant) },
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -12,6 +12,8 @@
 
 // Registry is a set of entries. It is safe for concurrent use.
 type Registry struct {
+	maxEntries int // zero means no limit
+
 	mu          sync.Mutex
 	entries     map[string]*record
 	idByAddress map[string]string // address to the id of the upstream that uses it
@@ -34,17 +36,31 @@
 	return e.Observed && e.WarmupLeft > 0 && e.Incarnation == r.Incarnation && e.State == r.State && r.warmupLeft(now) == 0
 }
 
-// New returns an empty registry.
-func New() *Registry {
-	return &Registry{entries: make(map[string]*record), idByAddress: make(map[string]string)}
+// New returns an empty registry without a limit.
+func New() *Registry { return NewWithin(0) }
+
+// NewWithin returns an empty registry of at most maxEntries entries, those of gone upstreams included. Zero means no limit.
+func NewWithin(maxEntries int) *Registry {
+	return &Registry{maxEntries: maxEntries, entries: make(map[string]*record), idByAddress: make(map[string]string)}
+}
+
+// HasRoom reports whether an entry with the id can be merged.
+func (r *Registry) HasRoom(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.entries[id] != nil || r.maxEntries <= 0 || len(r.entries) < r.maxEntries
 }
 
 // Merge adds or replaces an entry if e is newer than the current one, and returns the entries that must be propagated: the entry
-// itself, if it changed materially or its warm-up begins, and the upstream whose address it took over.
+// itself, if it changed materially or its warm-up begins, and the upstream whose address it took over. An entry without room is not
+// added: evicting another one could hit an upstream that works, since this process does not receive all announcements.
 func (r *Registry) Merge(e Entry, now time.Time) (changed []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.entries[e.ID]
+	if old == nil && r.maxEntries > 0 && len(r.entries) >= r.maxEntries {
+		return nil
+	}
 	if old != nil && e.isAnonymousDeregistration() {
 		e = old.Entry
 		e.State = Gone
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -156,3 +156,28 @@
 	r.Merge(entry("a", 100, 2, registry.Ready), start)
 	is.Equal(len(r.All(start)), 1) // it was dropped without a tombstone
 }
+
+// Guards against a registry that grows without bound, and against an upstream that is lost because others are announced.
+func TestRegistryWithinItsLimit(t *testing.T) {
+	is := is.New(t)
+	r := registry.NewWithin(2)
+	add := func(id, address string, seq uint64, state registry.State, at time.Time) {
+		e := entry(id, 100, seq, state)
+		e.Address = address
+		r.Merge(e, at)
+	}
+	add("a", "10.0.0.1:80", 1, registry.Ready, start)
+	add("b", "10.0.0.2:80", 1, registry.Ready, start)
+	is.True(!r.HasRoom("c"))
+	add("c", "10.0.0.1:80", 1, registry.Ready, start) // would take over the address
+	is.Equal(len(r.All(start)), 2)
+	is.True(r.HasRoom("a"))
+	add("a", "10.0.0.1:80", 2, registry.Gone, start)
+	is.Equal(r.All(start)[0].State, registry.Gone)
+	is.True(!r.HasRoom("c")) // a late announcement would add it again
+	later := start.Add(registry.GoneRetention)
+	r.Expire(later, 0)
+	is.True(r.HasRoom("c"))
+	add("c", "10.0.0.3:80", 1, registry.Ready, later)
+	is.Equal(len(r.All(later)), 2)
+}
--- a/resultcode/info.go
+++ b/resultcode/info.go
@@ -37,7 +37,7 @@
 	UpstreamsPaused:        {"upstreams_paused", true, http.StatusServiceUnavailable, "The upstreams of the service have asked this gateway for a pause."},
 	UnknownKey:             {"unknown_key", true, http.StatusUnauthorized, "The request has no key of a client account."},
 	QuotaExceeded:          {"quota_exceeded", true, http.StatusTooManyRequests, "The client account has used its rate and burst over all gateways."},
-	ClientResources:        {"client_resources", true, http.StatusServiceUnavailable, "The memory or the connections that clients may use are used up, or other bodies took too long to be decoded."},
+	ClientResources:        {"client_resources", true, http.StatusServiceUnavailable, "The memory or the connections that clients may use are used up, other bodies took too long to be decoded, or too many upstreams are known."},
 
 	OutcomeUnknown:        {"outcome_unknown", false, http.StatusBadGateway, "The upstream failed after it may have started the request."},
 	ClaimRunning:          {"claim_running", false, http.StatusConflict, "A request with this idempotency key is running."},
