Replies of links do not wait for updates

On a slow link on which updates keep the queue long, acknowledgments of announcements would have waited behind them again and again.

Of larger ones, one is in the queue of a link; the next is queued once it was written, whatever was queued after it. TestRepliesThatAreNotRead checks both.

--- a/internal/nodelink/limits_test.go
+++ b/internal/nodelink/limits_test.go
@@ -113,20 +113,18 @@
 			go l.reply(frame{Kind: frameReply, CallID: id, Body: make([]byte, size)})
 			synctest.Wait()
 		}
-		is.True(l.queued.Load() <= shortQueue+2*size)
-		whole := 0
-		for range replies {
+		is.True(l.enqueued.Load()-l.written.Load() < 2*size)
+		l.reply(frame{Kind: frameReply, CallID: replies, Body: []byte("small")}) // does not wait
+		lengths := make(map[int]int)
+		for range replies + 1 {
 			f, err := readFrame(other)
 			is.NoErr(err)
-			if len(f.Body) == size {
-				whole++
-			} else {
-				is.Equal(f.Error, tooManyCalls)
-			}
+			is.Equal(f.Error == tooManyCalls, len(f.Body) == 0)
+			lengths[len(f.Body)]++
 		}
-		is.Equal(whole, maxLargeReplies)
+		is.Equal(lengths, map[int]int{size: maxLargeReplies, 0: replies - maxLargeReplies, len("small"): 1})
 		synctest.Wait()
-		is.Equal(l.queued.Load(), int64(0))
+		is.Equal(l.enqueued.Load(), l.written.Load())
 		is.Equal(l.largeReplies.Load(), int64(0))
 		for range calls {
 			is.True(l.accepted.beginCall())
--- a/internal/nodelink/link.go
+++ b/internal/nodelink/link.go
@@ -50,17 +50,18 @@
 	conn      net.Conn
 	handler   Handler
 	sendQueue chan []byte
-	queued    atomic.Int64  // bytes in sendQueue and of the frame that is being written
-	written   chan struct{} // signals that a frame was written
-	done      chan struct{}
-	closeOnce sync.Once
-	closeErr  error
+	// enqueued and written count the bytes of frames that were put into sendQueue, and of those among them that were written.
+	enqueued, written atomic.Int64
+	wrote             chan struct{} // signals that a frame was written
+	done              chan struct{}
+	closeOnce         sync.Once
+	closeErr          error
 
 	mu           sync.Mutex
 	lastCallID   uint64
 	pendingCalls map[uint64]chan frame
 	callSlots    chan struct{}
-	replying     chan struct{}  // held by the call whose reply is in the queue
+	replying     chan struct{}  // held by the call whose large reply is in the queue
 	largeReplies atomic.Int64   // that wait or are in the queue
 	accepted     *acceptedLinks // nil if this process opened the link
 	opened       bool           // used only by the goroutine of run
@@ -70,7 +71,7 @@
 func newLink(conn net.Conn, remote string, dialed bool, handler Handler) *Link {
 	return &Link{
 		Remote: remote, Dialed: dialed, conn: conn, handler: handler, sendQueue: make(chan []byte, sendQueueLength),
-		written: make(chan struct{}, 1), replying: make(chan struct{}, 1), done: make(chan struct{}),
+		wrote: make(chan struct{}, 1), replying: make(chan struct{}, 1), done: make(chan struct{}),
 		pendingCalls: make(map[uint64]chan frame), callSlots: make(chan struct{}, maxConcurrentCalls),
 	}
 }
@@ -141,9 +142,9 @@
 			l.close(err)
 			return
 		}
-		l.queued.Add(-int64(queued))
+		l.written.Add(int64(queued))
 		select {
-		case l.written <- struct{}{}:
+		case l.wrote <- struct{}{}:
 		default:
 		}
 		idle.Reset(PingInterval)
@@ -229,7 +230,7 @@
 		return false
 	default:
 	}
-	l.queued.Add(int64(len(data)))
+	l.enqueued.Add(int64(len(data)))
 	select {
 	case l.sendQueue <- data:
 		l.Traffic.countSent(&f, len(data))
--- a/internal/nodelink/serve_call.go
+++ b/internal/nodelink/serve_call.go
@@ -3,10 +3,8 @@
 import "context"
 
 const (
-	// shortQueue is the number of bytes in the send queue above which replies wait. Other frames do not.
-	shortQueue = 16 << 10
 	// smallReply is the length in bytes up to which replies are not counted as large. Acknowledgments are shorter.
-	smallReply = 1 << 10
+	smallReply = 256
 	// maxLargeReplies bounds the large replies of a link that wait or are in the send queue. The callee holds them meanwhile.
 	maxLargeReplies = 8
 	// maxConcurrentCalls bounds the calls that one link serves concurrently.
@@ -53,14 +51,17 @@
 	l.accepted.endCall()
 }
 
-// reply queues the reply to a call and returns once the queue is short again. Further replies wait meanwhile, without the copy that is in
-// the queue.
+// reply queues the reply to a call. A large one waits for others of the link, and reply returns once it was written: until then, the callee
+// holds it in a form that calls may share, and only one copy is in the queue.
 func (l *Link) reply(f frame) {
-	if len(f.Body) > smallReply {
-		defer l.largeReplies.Add(-1)
-		if l.largeReplies.Add(1) > maxLargeReplies {
-			f.Body, f.Error = nil, tooManyCalls
-		}
+	if len(f.Body) <= smallReply {
+		l.enqueue(f)
+		return
+	}
+	defer l.largeReplies.Add(-1)
+	if l.largeReplies.Add(1) > maxLargeReplies {
+		l.enqueue(frame{Kind: frameReply, CallID: f.CallID, Error: tooManyCalls})
+		return
 	}
 	select {
 	case l.replying <- struct{}{}:
@@ -69,9 +70,9 @@
 		return
 	}
 	l.enqueue(f)
-	for l.queued.Load() > shortQueue {
+	for end := l.enqueued.Load(); l.written.Load() < end; {
 		select {
-		case <-l.written:
+		case <-l.wrote:
 		case <-l.done:
 			return
 		}
