--- a/internal/cluster/submit.go
+++ b/internal/cluster/submit.go
@@ -20,7 +20,7 @@
 // is unknown.
 var ErrControlUnavailable = errors.New("the control group was not reached")
 
-// ErrTooManyUpstreams is returned for the announcement of an upstream that is not known, if as many as may be are.
+// ErrTooManyUpstreams is returned for the announcement of an unknown upstream if there is no room for another one.
 var ErrTooManyUpstreams = errors.New("too many upstreams are known")
 
 // Submit appends a change to the log and returns its result once it is committed. After an error, the change may or may
--- a/internal/edge/unread.go
+++ b/internal/edge/unread.go
@@ -58,8 +58,9 @@
 	}
 }
 
-// displace closes the connection of the client that has not read for longest, among those with a response from an upstream, or from any
-// without an address. It returns a channel that is closed once the connection to the upstream is free, or nil if all clients read.
+// displace closes the connection of the client that has not read for longest, among those with a response from the upstream at an address, or
+// from any upstream if the address is empty. It returns a channel that is closed once the connection to the upstream is free, or nil if
+// no client takes too long.
 func (u *unbufferedResponses) displace(address string, now time.Time) (free <-chan struct{}) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
